Lay the ground: records, values of the table, I/O interfaces

Cause: the repository is new; the parts are to be built side by side and need one set of types and one description of what goes over the wire. Conclusion: the ground for the other parts; nothing is served yet.

--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,17 @@
+# One test program for each file test/<feature>.cpp.
+enable_testing()
+find_package(GTest REQUIRED)
+find_package(rapidcheck REQUIRED)
+file(GLOB test_sources CONFIGURE_DEPENDS test/*.cpp)
+foreach(source ${test_sources})
+  get_filename_component(name ${source} NAME_WE)
+  add_executable(test_${name} ${source})
+  target_link_libraries(test_${name} PRIVATE
+    vanillapost_core rapidcheck GTest::gtest GTest::gtest_main)
+  if(TARGET vanillapost_io)
+    target_link_libraries(test_${name} PRIVATE vanillapost_io)
+  endif()
+  add_test(NAME ${name} COMMAND test_${name})
+  set_tests_properties(${name} PROPERTIES
+    ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=200" TIMEOUT 300)
+endforeach()
--- /dev/null
+++ b/include/vanillapost/src/io/event_loop.hpp
@@ -0,0 +1,66 @@
+#ifndef VANILLAPOST_SRC_IO_EVENT_LOOP_HPP
+#define VANILLAPOST_SRC_IO_EVENT_LOOP_HPP
+
+#include "../base/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace vanillapost::io {
+
+/// The one loop on which everything in a process runs.
+class event_loop
+{
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Monotonic time, read anew at each call.
+    time_point now() const;
+
+    /// Wall-clock time in ms since 1970, for deadlines sent to targets.
+    std::int64_t unix_ms() const;
+
+    /// Runs until `stop`.
+    void run();
+    void stop();
+
+    /// Calls `handler` on the loop whenever the process gets `signal`.
+    void on_signal(int signal, std::function<void()> handler);
+
+    /// Calls `task` on the next turn of the loop.
+    void post(std::function<void()> task);
+
+    event_base* base() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// A timer on a loop; destroying it cancels it.
+class timer
+{
+public:
+    timer(event_loop& loop, std::function<void()> handler);
+    ~timer();
+    timer(timer&&) noexcept;
+    timer& operator=(timer&&) noexcept;
+
+    void start_once(duration delay);
+    void start_every(duration interval);
+    void cancel();
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace vanillapost::io
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/io/http_message.hpp
@@ -0,0 +1,35 @@
+#ifndef VANILLAPOST_SRC_IO_HTTP_MESSAGE_HPP
+#define VANILLAPOST_SRC_IO_HTTP_MESSAGE_HPP
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace vanillapost::io {
+
+struct header_field
+{
+    std::string name;
+    std::string value;
+};
+
+using header_list = std::vector<header_field>;
+
+/// The value of the first header of that name, whatever its case.
+std::optional<std::string_view> find_header(std::span<const header_field> list,
+                                            std::string_view name);
+
+/// What a client sends.
+struct http_request
+{
+    std::string method = "GET";
+    std::string target = "/"; ///< path and query
+    header_list headers;
+    std::string body;
+};
+
+} // namespace vanillapost::io
+
+#endif
