Add the event loop, HTTP server, log and metrics of the I/O layer

Cause: the headers of the I/O layer had no implementation. Change: event loop and timers over libevent, addresses, evhttp server with streamed answers, JSON lines over log4cplus, text metrics. event_loop gains dispose(), for objects that a callback may still use. Ruled out: shutting log4cplus's thread pool down altogether (its function is exported but not declared); the pool is set to its smallest size.

--- a/include/vanillapost/src/io/event_loop.hpp
+++ b/include/vanillapost/src/io/event_loop.hpp
@@ -11,6 +11,12 @@
 
 namespace vanillapost::io {
 
+/// What can be handed to `event_loop::dispose`.
+struct disposable
+{
+    virtual ~disposable() = default;
+};
+
 /// The one loop on which everything in a process runs.
 class event_loop
 {
@@ -36,6 +42,10 @@
     /// Calls `task` on the next turn of the loop.
     void post(std::function<void()> task);
 
+    /// Destroys `item` on the next turn of the loop, or with the loop: for
+    /// objects that a callback on the stack may still use.
+    void dispose(std::unique_ptr<disposable> item);
+
     event_base* base() const;
 
 private:
--- a/include/vanillapost/src/io/http_server.hpp
+++ b/include/vanillapost/src/io/http_server.hpp
@@ -68,6 +68,7 @@
 {
 public:
     using handler = std::function<void(std::unique_ptr<server_exchange>)>;
+    struct state;
 
     http_server(event_loop& loop, http_server_limits limits, handler handle);
     ~http_server();
@@ -84,7 +85,6 @@
     std::size_t in_flight() const;
 
 private:
-    struct state;
     std::unique_ptr<state> state_;
 };
 
