--- a/include/vanillapost/src/io/http_client.hpp
+++ b/include/vanillapost/src/io/http_client.hpp
@@ -74,6 +74,8 @@
 class http_client
 {
 public:
+    struct state;
+
     http_client(event_loop& loop, address peer, http_client_limits limits = {});
     ~http_client();
 
@@ -85,7 +87,6 @@
     std::size_t open_connections() const;
 
 private:
-    struct state;
     std::unique_ptr<state> state_;
 };
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,6 +1,7 @@
 #include "vanillapost/src/io/http_server.hpp"
 
 #include "vanillapost/src/base/error.hpp"
+#include "vanillapost/src/io/detail/http_method.hpp"
 #include "vanillapost/src/io/detail/socket.hpp"
 
 #include <algorithm>
@@ -18,9 +19,6 @@
 
 namespace {
 
-constexpr int all_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
-                            EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD |
-                            EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS;
 constexpr int status_unavailable = 503;
 constexpr int listen_backlog = 1024;
 // Room beyond a whole request, for what follows on the same connection.
@@ -28,28 +26,6 @@
 
 using buffer_ptr = std::unique_ptr<evbuffer, decltype(&evbuffer_free)>;
 
-std::string_view method_name(evhttp_cmd_type type)
-{
-    switch (type) {
-    case EVHTTP_REQ_GET:
-        return "GET";
-    case EVHTTP_REQ_POST:
-        return "POST";
-    case EVHTTP_REQ_HEAD:
-        return "HEAD";
-    case EVHTTP_REQ_PUT:
-        return "PUT";
-    case EVHTTP_REQ_DELETE:
-        return "DELETE";
-    case EVHTTP_REQ_OPTIONS:
-        return "OPTIONS";
-    case EVHTTP_REQ_PATCH:
-        return "PATCH";
-    default:
-        return "";
-    }
-}
-
 bool has_body(evhttp_cmd_type type, int status)
 {
     return type != EVHTTP_REQ_HEAD && status != 204 && status != 304 &&
@@ -150,7 +126,7 @@
 {
     auto made = std::make_unique<server_exchange::state>();
     made->type = evhttp_request_get_command(request);
-    made->method = method_name(made->type);
+    made->method = detail::method_name(made->type);
     made->target = evhttp_request_get_uri(request);
     evkeyvalq* headers = evhttp_request_get_input_headers(request);
     for (evkeyval* h = headers->tqh_first; h; h = h->next.tqe_next)
@@ -227,7 +203,7 @@
     http.reset(evhttp_new(loop.base()));
     if (!http)
         throw error("start HTTP server", "", "evhttp gave no server");
-    evhttp_set_allowed_methods(http.get(), all_methods);
+    evhttp_set_allowed_methods(http.get(), detail::all_methods());
     evhttp_set_max_headers_size(
         http.get(), static_cast<ev_ssize_t>(limits.max_header_bytes));
     evhttp_set_max_body_size(http.get(),
