Implement membership and holds

Cause: entries need to agree which of them sends work to which target. Change: liveness, the hold rows, confirmation by heartbeat, promises by the successor, the takeover rule, the assignment and the controller that joins them.

--- a/include/vanillapost/src/holds/confirmation.hpp
+++ b/include/vanillapost/src/holds/confirmation.hpp
@@ -44,15 +44,17 @@
     /// holds have to be read next.
     bool on_write(const transaction_result& result, time_point now);
 
-    /// All changes were read by a request sent after the heartbeat's answer.
-    void on_changes_read();
-
-    /// Whether a written heartbeat waits for the changes to be read.
-    bool awaits_changes() const
+    /// When the written heartbeat was first sent, while it waits for the
+    /// changes to be read.
+    std::optional<time_point> written_from() const
     {
-        return written_from_.has_value();
+        return written_from_;
     }
 
+    /// The changes were read by a request sent after the answer to the
+    /// heartbeat that was first sent at `from`.
+    void confirm(time_point from);
+
     /// End of the confirmation; in the past when there is none.
     time_point confirmed_until() const
     {
@@ -67,13 +69,13 @@
     }
 
 private:
-    void read_again(time_point now);
+    table_transaction next_write();
 
     entry_incarnation self_;
     hold_settings settings_;
     bool request_open_ = false;
     bool row_known_ = false;
-    bool ever_read_ = false;
+    bool ever_written_ = false;
     bool superseded_ = false;
     revision at_ = 0;
     std::uint64_t count_ = 0;
--- a/include/vanillapost/src/holds/hold_controller.hpp
+++ b/include/vanillapost/src/holds/hold_controller.hpp
@@ -22,6 +22,10 @@
 
 namespace vanillapost {
 
+namespace detail {
+class hold_planner;
+}
+
 /// Decides which targets this entry holds and how much of each it may use.
 ///
 /// Events and the time come in, actions are taken out with
@@ -31,6 +35,8 @@
 ///
 /// \note Call \ref tick at least every 100 ms, and only after the entry has
 ///       registered with the platform.
+/// \warning The time handed in with an event must not be older than the
+///          event: read the clock after the message has arrived.
 /// \warning In-flight counts have to be exact: call \ref set_in_flight on
 ///          every start and end of a request, before any other call.
 /// \see docs/design/holds.md
@@ -47,7 +53,6 @@
     void set_in_flight(const target_id& target, int requests);
     void on_instance_list(const instance_list& list, time_point now);
     void on_peer_up(const entry_incarnation& peer, time_point now);
-    void on_peer_down(const entry_incarnation& peer, time_point now);
     void on_peer_ended(const entry_incarnation& peer, time_point now);
     void on_hint(time_point now);
     void on_promise_ask(const entry_incarnation& from, std::uint64_t id,
@@ -112,28 +117,34 @@
     }
 
 private:
-    friend class hold_planner;
+    friend class detail::hold_planner;
 
-    table_request_id next_request();
     void start_confirmation(time_point now);
     void start_read_changes();
     void start_watch_reads(time_point now);
     void ask_promises(time_point now);
     void plan(time_point now);
-    void submit(hold_write write, time_point now);
+    void submit(const hold_write& write);
     void resubmit(time_point now);
     void send(pending_hold_write& pending);
-    void on_write_answer(const target_id& target,
+    void on_heartbeat_answer(const transaction_result& result, time_point now);
+    void on_write_answer(pending_hold_write& pending,
                          const transaction_result& result, time_point now);
-    void finish_write(const target_id& target, revision at, time_point now);
+    void finish_write(const hold_write& write, revision at);
     void apply_rows(std::span<const table_row> rows, time_point now);
+    void apply_row(const table_row& row, time_point now);
     void drop_settled_write(const target_id& target);
     void hint_named(const hold_write& write);
-    void update_assignment(time_point now);
+    void update_assignment();
+    void note_missing_records(time_point now);
     bool may_promise(const entry_incarnation& to) const;
+    bool withdrawn(const target_id& target, time_point now) const;
+    bool platform_confirms(time_point now) const;
     time_point exclusive_until(const hold_row& row) const;
+    hold_share holder_share(const hold_row& row, int limit,
+                            time_point now) const;
     int in_flight(const target_id& target) const;
-    const pending_hold_write* pending(const target_id& target) const;
+    std::vector<listed_instance> live_entries() const;
 
     entry_incarnation self_;
     data_centre_id data_centre_;
@@ -147,26 +158,29 @@
     promise_book promises_;
 
     std::map<target_id, hold_target> targets_;
+    bool targets_known_ = false;
     std::map<target_id, time_point> missing_since_;
     std::map<target_id, time_point> unheld_since_;
     std::map<target_id, int> in_flight_;
     std::set<target_id> moving_;
     std::map<target_id, pending_hold_write> pending_;
+    std::uint64_t last_write_ = 0;
 
     assignment assignment_;
     std::uint64_t assigned_version_ = 0;
     bool targets_changed_ = true;
-    bool targets_known_ = false;
 
     table_request_id last_request_ = 0;
     table_request_id heartbeat_request_ = 0;
     table_request_id changes_request_ = 0;
-    bool changes_confirm_ = false;
-    bool changes_again_ = false;
-    bool changes_known_ = false;
     std::map<table_request_id, entry_id> watch_requests_;
     std::map<table_request_id, target_id> write_requests_;
-    std::uint64_t last_write_ = 0;
+
+    revision changes_since_ = 0;
+    bool changes_known_ = false;
+    bool changes_again_ = false;
+    std::optional<time_point> changes_confirm_from_;
+
     time_point next_watch_{};
     time_point next_scan_{};
     bool leaving_ = false;
--- a/include/vanillapost/src/holds/hold_row.hpp
+++ b/include/vanillapost/src/holds/hold_row.hpp
@@ -22,10 +22,10 @@
     entry_incarnation holder;
 
     /// The only entry that may take the hold over while both live.
-    std::optional<entry_incarnation> successor;
+    std::optional<entry_incarnation> successor = std::nullopt;
 
     /// An entry that held the target before and may still have work on it.
-    std::optional<entry_incarnation> previous;
+    std::optional<entry_incarnation> previous = std::nullopt;
 
     /// Number of the holder, rising with each change of holder.
     std::uint64_t term = 1;
--- a/include/vanillapost/src/holds/hold_table.hpp
+++ b/include/vanillapost/src/holds/hold_table.hpp
@@ -1,7 +1,6 @@
 #ifndef VANILLAPOST_SRC_HOLDS_HOLD_TABLE_HPP
 #define VANILLAPOST_SRC_HOLDS_HOLD_TABLE_HPP
 
-#include "../base/time.hpp"
 #include "../table/table.hpp"
 #include "hold_row.hpp"
 
@@ -16,7 +15,13 @@
 {
     revision at = 0;
     std::optional<hold_row> row; ///< absent when erased or unreadable
-    time_point seen_at{};        ///< when this process learnt of it
+    bool readable = true;        ///< false: never to be overwritten
+
+    /// What a write has to expect: 0 when there is no row.
+    revision expected() const
+    {
+        return row ? at : 0;
+    }
 };
 
 /// Copy of the hold rows in one process.
@@ -29,11 +34,11 @@
     explicit hold_table(entry_incarnation self);
 
     /// Takes in a row; returns whether it was newer than the known one.
-    bool apply(const table_row& row, time_point now);
+    bool apply(const table_row& row);
 
     /// Takes in a row that this process has written.
     bool apply(const target_id& target, revision at,
-               std::optional<hold_row> row, time_point now);
+               std::optional<hold_row> row);
 
     const known_hold* find(const target_id& target) const;
 
@@ -51,10 +56,9 @@
         return own_;
     }
 
-    /// Ask the table for changes since this revision.
-    revision latest = 0;
-
 private:
+    bool store(const target_id& target, known_hold known);
+
     entry_incarnation self_;
     std::map<target_id, known_hold> rows_;
     std::set<target_id> own_;
--- a/include/vanillapost/src/holds/hold_write.hpp
+++ b/include/vanillapost/src/holds/hold_write.hpp
@@ -32,8 +32,8 @@
     std::optional<hold_row> to; ///< absent for `erase`
 
     /// The holder whose heartbeat row must not have changed, for `takeover`.
-    std::optional<entry_incarnation> from;
-    std::optional<revision> heartbeat_expected;
+    std::optional<entry_incarnation> from = std::nullopt;
+    std::optional<revision> heartbeat_expected = std::nullopt;
 };
 
 /// A write that was submitted and has no final answer yet.
@@ -43,7 +43,7 @@
     table_transaction transaction;
     table_request_id request = 0; ///< 0: none is waiting for an answer
     time_point resubmit_at{};     ///< when no request is waiting
-    int submissions = 0;
+    revision seen_at = 0;         ///< of the row when the write was made
 };
 
 } // namespace vanillapost
--- a/include/vanillapost/src/membership/liveness.hpp
+++ b/include/vanillapost/src/membership/liveness.hpp
@@ -75,7 +75,6 @@
 private:
     void end_missing(time_point now);
     void note_change(time_point now);
-    void forget_old(time_point now);
 
     std::map<entry_id, listed_instance> listed_;
     std::map<entry_incarnation, time_point> evidence_;
