Declare the decisions of the data path

Cause: the entry daemon and the burn report are written against these headers while the decisions themselves are being implemented. No implementation yet. Conclusion: the interfaces may still be refined with their tests.

--- /dev/null
+++ b/include/vanillapost/idempotency.hpp
@@ -0,0 +1,11 @@
+#ifndef VANILLAPOST_IDEMPOTENCY_HPP
+#define VANILLAPOST_IDEMPOTENCY_HPP
+
+/// Umbrella header of the idempotency module: claims that let a booking run at
+/// most once.
+
+#include "src/idempotency/booking_claim.hpp"
+#include "src/idempotency/claim_action.hpp"
+#include "src/idempotency/claim_row.hpp"
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/idempotency/claim_action.hpp
@@ -0,0 +1,54 @@
+#ifndef VANILLAPOST_SRC_IDEMPOTENCY_CLAIM_ACTION_HPP
+#define VANILLAPOST_SRC_IDEMPOTENCY_CLAIM_ACTION_HPP
+
+#include "../base/time.hpp"
+#include "../retry/retry_policy.hpp"
+#include "../table/table.hpp"
+#include "claim_row.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace vanillapost {
+
+/// Send this transaction and hand its result to `on_transaction`.
+struct submit_claim
+{
+    table_transaction transaction;
+};
+
+/// Call `on_timer` at this time.
+struct wake_claim
+{
+    time_point at{};
+};
+
+/// The claim is held: dispatch the request now. Comes at most once.
+struct dispatch_claimed
+{
+};
+
+/// Answer the caller with the kept outcome of the earlier request.
+struct answer_stored
+{
+    stored_outcome outcome;
+};
+
+/// Refuse the request.
+struct refuse_claim
+{
+    int status = 0; ///< 409, 503 or 504
+    run_state ran = run_state::no;
+    duration retry_after{}; ///< 0: asking again is of no use
+    std::string detail;
+};
+
+using claim_action = std::variant<submit_claim, wake_claim, dispatch_claimed,
+                                  answer_stored, refuse_claim>;
+
+using claim_actions = std::vector<claim_action>;
+
+} // namespace vanillapost
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/routing/address_advisor.hpp
@@ -0,0 +1,40 @@
+#ifndef VANILLAPOST_SRC_ROUTING_ADDRESS_ADVISOR_HPP
+#define VANILLAPOST_SRC_ROUTING_ADDRESS_ADVISOR_HPP
+
+#include "../base/identifier.hpp"
+#include "../base/random.hpp"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace vanillapost {
+
+/// An entry that callers could be told of.
+struct advised_entry
+{
+    entry_id name;
+    data_centre_id data_centre;
+    std::string address; ///< caller-facing IP number and port
+    bool leaving = false;
+    std::map<service_id, int> held_slots;
+};
+
+/// Orders the entries that a caller is told of, best first.
+///
+/// Entries in the caller's data centre that hold targets of the service come
+/// first, then entries elsewhere that hold some, then entries in the caller's
+/// data centre, then the rest. Within a group the order is random, weighted by
+/// held slots, so that callers spread. An entry that is leaving is never
+/// named.
+///
+/// \return addresses, at most `most`
+std::vector<std::string>
+advise_addresses(std::span<const advised_entry> entries,
+                 const service_id& service, const data_centre_id& caller,
+                 std::size_t most, random_engine& random);
+
+} // namespace vanillapost
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/routing/target_picker.hpp
@@ -0,0 +1,123 @@
+#ifndef VANILLAPOST_SRC_ROUTING_TARGET_PICKER_HPP
+#define VANILLAPOST_SRC_ROUTING_TARGET_PICKER_HPP
+
+#include "../base/identifier.hpp"
+#include "../base/random.hpp"
+#include "../base/time.hpp"
+#include "latency_tracker.hpp"
+
+#include <map>
+#include <optional>
+#include <span>
+
+namespace vanillapost {
+
+/// A held target that could take a request.
+struct target_candidate
+{
+    target_id target;
+    int in_flight = 0;
+    int limit = 0;      ///< a candidate without a free slot is passed over
+    bool local = false; ///< in this entry's data centre
+
+    /// How long the longest running request has been running.
+    duration oldest_age{};
+};
+
+/// How an answer counts for routing.
+enum class answer_quality
+{
+    good,
+    failed, ///< error, reset, refused connection: however fast it came
+    shed,   ///< the target did not run it, because it is busy or draining
+};
+
+struct target_picker_settings
+{
+    double slow_factor = 3;   ///< times the median at which a target is avoided
+    int samples_to_judge = 3; ///< answers before its latency is judged
+    double overdue_factor = 6;  ///< times the median for a running request
+    double report_weight = 0.1; ///< of a dated load report against own counts
+    duration report_life = std::chrono::seconds(1); ///< ignored when older
+    double remote_penalty = 0.2; ///< score added for another data centre
+    duration first_backoff = std::chrono::milliseconds(200);
+    duration longest_backoff = std::chrono::seconds(10);
+    double largest_avoided_share = 0.5; ///< of the service's targets
+};
+
+/// Chooses among the held targets of one service.
+///
+/// A target is avoided after failures, and when its latency stands out
+/// against the median of the others. It is tried again with one request after
+/// a backoff that doubles with each bad try. A failed answer is bad however
+/// fast it came, so that a target that fails fast attracts no work. When more
+/// than half would be avoided, the cause is not the target, and all are used.
+class target_picker
+{
+public:
+    explicit target_picker(const target_picker_settings& settings = {});
+
+    /// Picks a target with a free slot, or nothing.
+    ///
+    /// \warning Call `on_dispatch` for the picked target when it is used: it
+    /// counts the single request of a target that is being tried again.
+    std::optional<target_id> pick(std::span<const target_candidate> candidates,
+                                  time_point now, random_engine& random) const;
+
+    void on_dispatch(const target_id& target, time_point now);
+
+    /// \param latency  from dispatch to the first byte of the answer
+    void on_answer(const target_id& target, time_point now, duration latency,
+                   answer_quality quality);
+
+    /// The dispatch ended without saying anything of the target, for example
+    /// because the caller went away.
+    void on_cancelled(const target_id& target);
+
+    /// A load report; `at` is when it was received.
+    void on_load_report(const target_id& target, time_point at, int in_flight,
+                        int slots);
+
+    /// Whether requests avoid the target at present.
+    bool avoided(const target_id& target, time_point now) const;
+
+    /// Whether `latency` is far above that of the service's other targets.
+    bool stands_out(const target_id& target, duration latency) const;
+
+    /// Median over the targets of mean latency; nothing until two are known.
+    std::optional<duration> median_latency() const;
+
+    /// Forgets a target that is held no longer.
+    void remove(const target_id& target);
+
+private:
+    struct state
+    {
+        latency_tracker latency;
+        int bad_tries = 0; ///< doublings of the backoff
+        time_point avoided_until{};
+        bool on_trial = false; ///< one good answer ends the avoidance
+        int trial_in_flight = 0;
+        double reported_load = 0;
+        time_point reported_at{};
+    };
+
+    void avoid(state& target, time_point now);
+    void update_median();
+    void end_trial(state& target);
+    bool usable(const target_candidate& candidate, time_point now) const;
+    double score(const target_candidate& candidate, time_point now) const;
+    std::optional<target_id>
+    best_of(std::span<const target_candidate> candidates, time_point now,
+            random_engine& random, bool any) const;
+    bool too_many_avoided(std::span<const target_candidate> candidates,
+                          time_point now) const;
+
+    target_picker_settings settings_;
+    std::map<target_id, state> states_;
+    double median_ = 0; ///< microseconds; 0 while unknown
+};
+
+} // namespace vanillapost
+
+#endif
