Implement the decisions of the data path

Cause: the entry daemon needs limits, routing, admission, retries, claims, measuring and burn rates as code without I/O. Ruled out: one estimator for all latencies (the median of the other targets judges a target, a histogram's quantile sets the hedge delay); a slot freed at once after a cancellation (the target may not have noticed it); erasing a released claim (a late copy of an old write could then take effect).

--- a/include/vanillapost/src/admission/admission_queue.hpp
+++ b/include/vanillapost/src/admission/admission_queue.hpp
@@ -5,7 +5,6 @@
 #include "waiting_queue.hpp"
 #include "waiting_request.hpp"
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -96,6 +95,7 @@
     {
         request_class kind = request_class::lookup;
         int limit = 64;
+        duration deadline = std::chrono::seconds(2);
         int in_flight = 0;
         waiting_queue waiting;
         drain_meter meter;
@@ -109,7 +109,8 @@
     bool make_room(request_class kind, std::vector<refused_request>& out);
     duration retry_after(const service_queue& queue) const;
     waiting_request pop(service_queue& queue);
-    service_queue* next_queue(std::span<const service_id> can_run);
+    service_queue* next_queue(std::span<const service_id> can_run,
+                              time_point now);
 
     admission_settings settings_;
     std::map<service_id, service_queue> services_;
--- a/include/vanillapost/src/burn/burn_tracker.hpp
+++ b/include/vanillapost/src/burn/burn_tracker.hpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -44,9 +45,10 @@
     burn_severity severity(time_point now,
                            std::span<const burn_rule> rules = burn_rules) const;
 
-    /// Share of the period's error budget that is left, if the period goes on
-    /// at the rate of answers seen; negative when overspent.
-    double budget_left() const;
+    /// Share of the period's error budget that is left; negative when
+    /// overspent. The budget counts the answers that the period has if it goes
+    /// on at the rate observed.
+    double budget_left(time_point now) const;
 
     /// All answers observed.
     answer_count total() const
@@ -74,7 +76,7 @@
     std::map<std::string, answer_count, std::less<>> sources_;
     std::deque<point> history_;
     answer_count total_;
-    time_point first_{};
+    time_point started_{}; ///< of the first reading
 };
 
 } // namespace vanillapost
--- a/include/vanillapost/src/burn/burn_window.hpp
+++ b/include/vanillapost/src/burn/burn_window.hpp
@@ -24,7 +24,7 @@
 {
     duration length{};
     duration covered{}; ///< less than `length` while history is short
-    answer_count answers;
+    answer_count answers{};
 
     /// Share of bad answers; 0 when there were none at all.
     double error_rate() const;
--- a/include/vanillapost/src/idempotency/booking_claim.hpp
+++ b/include/vanillapost/src/idempotency/booking_claim.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace vanillapost {
@@ -24,6 +25,8 @@
 {
     duration resubmit_delay = std::chrono::milliseconds(50);
     duration longest_resubmit_delay = std::chrono::seconds(2);
+    /// Longest that a caller waits for its claim to be settled.
+    duration patience = std::chrono::milliseconds(500);
     duration retry_after = std::chrono::milliseconds(500);
     /// How long an outcome is kept.
     std::chrono::milliseconds retention = std::chrono::hours(24);
@@ -95,15 +98,18 @@
     claim_actions submit(claim_state state, revision expected);
     claim_actions resubmit_later(time_point now);
     claim_actions on_claimed(revision at, time_point now);
-    claim_actions on_claim_conflict(const table_row& row, time_point now);
-    claim_actions on_other_claim(const claim_row& other, revision at,
+    claim_actions on_claim_conflict(const transaction_conflict& conflict,
+                                    time_point now);
+    claim_actions on_other_claim(const claim_row& other);
+    claim_actions on_unavailable(const platform_unavailable& failure,
                                  time_point now);
-    claim_actions on_claim_unavailable(const platform_unavailable& failure,
-                                       time_point now);
     claim_actions settle(claim_state state);
-    claim_actions refuse(int status, run_state ran, duration retry_after,
-                         std::string detail);
-    claim_row row(claim_state state) const;
+    claim_actions finish();
+    claim_actions refuse(refuse_claim refusal);
+    claim_actions refuse_for_outage();
+    bool mine(const table_row& row) const;
+    bool out_of_time(time_point now) const;
+    std::string row_text(claim_state state) const;
 
     claim_request request_;
     claim_settings settings_;
@@ -111,12 +117,12 @@
     std::string table_key_;
     stage stage_ = stage::idle;
     bool answered_ = false; ///< the caller needs no answer from here
-    bool waiting_ = false;  ///< for a timer, not for the table
+    std::optional<time_point> resubmit_at_;
+    time_point answer_by_{}; ///< of the caller, while claiming
     table_transaction pending_;
     revision claimed_at_ = 0;
     stored_outcome outcome_;
-    std::int64_t expires_unix_ms_ = 0;
-    std::int64_t started_unix_ms_ = 0;
+    std::int64_t unix_ms_ = 0; ///< at the start
     int writes_ = 0;
     int resubmits_ = 0;
 };
--- a/include/vanillapost/src/idempotency/claim_action.hpp
+++ b/include/vanillapost/src/idempotency/claim_action.hpp
@@ -41,7 +41,7 @@
     int status = 0; ///< 409, 503 or 504
     run_state ran = run_state::no;
     duration retry_after{}; ///< 0: asking again is of no use
-    std::string detail;
+    std::string detail{};
 };
 
 using claim_action = std::variant<submit_claim, wake_claim, dispatch_claimed,
--- a/include/vanillapost/src/idempotency/claim_row.hpp
+++ b/include/vanillapost/src/idempotency/claim_row.hpp
@@ -50,6 +50,10 @@
 /// Longest `Idempotency-Key`, in bytes.
 inline constexpr std::size_t max_idempotency_key_bytes = 255;
 
+/// Whether a caller may use this as `Idempotency-Key`: visible ASCII, neither
+/// empty nor too long.
+bool is_idempotency_key(std::string_view key);
+
 /// Key of a claim in the table: "claims/SERVICE/" and 128 bits of hash.
 std::string claim_key(const service_id& service, std::string_view key);
 
--- a/include/vanillapost/src/limits/cold_ramp.hpp
+++ b/include/vanillapost/src/limits/cold_ramp.hpp
@@ -37,6 +37,9 @@
     /// Drops to the cold level at once.
     void on_cold_sign();
 
+    /// The target was proven warm by another entry.
+    void on_warm_knowledge();
+
     /// Starts over the count at the present level, after slow or failed work.
     void on_doubt();
 
@@ -44,8 +47,6 @@
     void change_limits(int cold_slots, int warm_slots);
 
 private:
-    void become_warm_if_proven();
-
     cold_ramp_settings settings_;
     int level_;
     int good_ = 0;
--- a/include/vanillapost/src/limits/slot_share.hpp
+++ b/include/vanillapost/src/limits/slot_share.hpp
@@ -11,13 +11,13 @@
     int usable = 0; ///< slots that the holder may use now
     int half = 0;   ///< slots that it may use while not alone
 
-    /// Until when the holder knows itself to be alone. Meaningful while
-    /// `usable` exceeds `half`.
+    /// Until when the holder knows itself to be alone.
     time_point exclusive_until{};
 
-    bool exclusive() const
+    /// Whether the holder knows at `now` that no other entry sends work.
+    bool exclusive(time_point now) const
     {
-        return usable > half;
+        return usable > half && now < exclusive_until;
     }
 };
 
--- a/include/vanillapost/src/limits/target_limiter.hpp
+++ b/include/vanillapost/src/limits/target_limiter.hpp
@@ -22,11 +22,15 @@
 /// How a dispatched request ended, as far as the target's load goes.
 enum class completion
 {
-    good,    ///< a whole answer
-    slow,    ///< a whole answer, far slower than the service's other targets
-    failed,  ///< an error of the target, such as 500
-    not_run, ///< the target said that it did not run, or no byte reached it
-    unknown, ///< broken off or timed out after it was sent: may still run
+    good,      ///< a whole answer
+    slow,      ///< a whole answer, far slower than the service's other targets
+    failed,    ///< an error of the target, such as 500
+    shed,      ///< the target refused it, being too busy
+    not_run,   ///< the target refused it for another reason, such as expiry
+    refused,   ///< no connection could be made; no byte was sent
+    broken,    ///< the connection broke after it was sent: it may still run
+    timed_out, ///< no answer by the deadline: it may still run
+    cancelled, ///< this side closed the connection: it may still run
 };
 
 struct target_limiter_settings
@@ -42,6 +46,10 @@
     /// Added to a deadline before work of unknown outcome is taken as over.
     duration deadline_margin = std::chrono::milliseconds(50);
 
+    /// Time after a cancellation by which a target that still answers has
+    /// noticed it.
+    duration cancel_time = std::chrono::milliseconds(20);
+
     /// Shortest time that a dispatch must have left to be worth sending.
     duration shortest_deadline = std::chrono::milliseconds(1);
 };
@@ -61,7 +69,9 @@
 /// \note Only the holder of a target has a limiter for it, so that the count
 /// is exact.
 /// \warning A request whose outcome is unknown keeps its slot until its
-/// deadline has passed, because the target may still run it.
+/// deadline has passed, because the target may still run it. A cancelled one
+/// keeps it until then or until the target has answered something that was
+/// sent well after the cancellation.
 class target_limiter
 {
 public:
@@ -84,6 +94,9 @@
     /// Applies a sign of the target's state from a probe or report.
     void on_state(target_state state);
 
+    /// The target answered something that was sent at `sent`, such as a probe.
+    void on_alive(time_point sent);
+
     /// Back to the cold limit: new hold without knowledge, unreachable, or its
     /// data centre came back.
     void mark_cold();
@@ -101,7 +114,7 @@
     int in_flight(time_point now);
 
     /// Limit at `now` under all bounds.
-    int limit(const slot_share& share) const;
+    int limit(time_point now, const slot_share& share) const;
 
     int free(time_point now, const slot_share& share);
 
@@ -123,15 +136,17 @@
     {
         time_point started;
         time_point deadline;
-        int busy;               ///< most in flight while it ran
-        bool abandoned = false; ///< outcome unknown, waits for its deadline
+        int busy = 0;           ///< most in flight while it ran
+        bool abandoned = false; ///< ended without a known outcome
+        std::optional<time_point> cancelled_at{};
     };
 
     void expire(time_point now);
-    int half(const slot_share& share) const;
-    std::optional<time_point> allowed_deadline(const slot_share& share,
-                                               time_point deadline) const;
     void note_busy();
+    void end(running& request, time_point now, completion how);
+    void learn(const running& request, completion how, target_state state);
+    int half(const slot_share& share) const;
+    int bound(int slots, int cold_level) const;
 
     target_limiter_settings settings_;
     cold_ramp ramp_;
--- a/include/vanillapost/src/measuring/probe_judge.hpp
+++ b/include/vanillapost/src/measuring/probe_judge.hpp
@@ -35,7 +35,7 @@
 
 /// Weighs probes of one target against its answers to real work.
 ///
-/// Health endpoints lag. A result that contradicts a later answer to real work
+/// Health endpoints lag. A result that contradicts a recent answer to real work
 /// is dropped, and no probe ever proves a target warm: only work does.
 class probe_judge
 {
@@ -48,7 +48,7 @@
     probe_verdict on_probe(const probe_result& result, time_point now);
 
 private:
-    bool contradicted(const probe_result& result) const;
+    bool contradicted(const probe_result& result, time_point now) const;
 
     probe_judge_settings settings_;
     std::optional<time_point> traffic_at_;
--- a/include/vanillapost/src/retry/hedge_policy.hpp
+++ b/include/vanillapost/src/retry/hedge_policy.hpp
@@ -3,7 +3,7 @@
 
 #include "retry_policy.hpp"
 
-#include <boost/histogram.hpp>
+#include <memory>
 #include <optional>
 
 namespace vanillapost {
@@ -17,6 +17,10 @@
     duration shortest_attempt = std::chrono::milliseconds(5);
 };
 
+namespace detail {
+class latency_histogram;
+}
+
 /// Says when a second attempt of a slow lookup is sent beside the first.
 ///
 /// The delay is a quantile of the service's observed latency. Only a lookup
@@ -26,6 +30,9 @@
 {
 public:
     explicit hedge_policy(const hedge_settings& settings = {});
+    ~hedge_policy();
+    hedge_policy(hedge_policy&& other) noexcept;
+    hedge_policy& operator=(hedge_policy&& other) noexcept;
 
     /// Latency of a whole, good answer, from dispatch.
     void observe(duration latency);
@@ -42,19 +49,9 @@
                    retry_budget& budget) const;
 
 private:
-    using axis =
-        boost::histogram::axis::regular<double,
-                                        boost::histogram::axis::transform::log>;
-    using histogram = decltype(boost::histogram::make_histogram_with(
-        std::vector<double>{}, std::declval<axis>()));
-
-    void update_delay();
-
     hedge_settings settings_;
-    histogram latencies_;
-    int in_window_ = 0;
-    int until_update_ = 0;
-    double total_ = 0;
+    std::unique_ptr<detail::latency_histogram> latencies_;
+    int until_update_;
     std::optional<duration> delay_;
 };
 
