--- a/include/vanillapost/operations.hpp
+++ b/include/vanillapost/operations.hpp
@@ -6,6 +6,7 @@
 
 #include "src/operations/record_change.hpp"
 #include "src/operations/record_difference.hpp"
+#include "src/operations/retry_delay.hpp"
 #include "src/operations/settled_write.hpp"
 #include "src/operations/write_author.hpp"
 
--- a/include/vanillapost/src/operations/record_change.hpp
+++ b/include/vanillapost/src/operations/record_change.hpp
@@ -5,6 +5,7 @@
 #include "../table/table.hpp"
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <span>
 #include <string>
@@ -21,6 +22,19 @@
     std::optional<std::string> after;  ///< absent: withdraw
 };
 
+/// A record as an operator wrote it. The text is kept, so that a record of
+/// schema version 1 stands in the table as such.
+struct written_record
+{
+    std::string key;
+    std::string text;
+};
+
+/// Parses one record and names its key.
+/// \throws field_error  naming every field that is wrong
+written_record check_record(const nlohmann::json& document,
+                            std::string_view peer);
+
 /// Rows of the table by key.
 using row_index = std::map<std::string, table_row, std::less<>>;
 
@@ -31,7 +45,7 @@
 ///
 /// \param withdraw_others  whether records that are not wanted are withdrawn
 std::vector<record_change> plan_changes(const row_index& current,
-                                        std::span<const record> wanted,
+                                        std::span<const written_record> wanted,
                                         bool withdraw_others);
 
 /// The change of one data centre's state. The data centre's other fields
--- a/include/vanillapost/src/operations/settled_write.hpp
+++ b/include/vanillapost/src/operations/settled_write.hpp
@@ -4,6 +4,7 @@
 #include "../base/random.hpp"
 #include "../base/time.hpp"
 #include "../table/table.hpp"
+#include "retry_delay.hpp"
 
 #include <string>
 #include <variant>
@@ -11,14 +12,6 @@
 
 namespace vanillapost {
 
-/// Bounds on how long a write is tried.
-struct write_retry_limits
-{
-    int attempts = 6; ///< submissions, and then as many reads
-    duration first_delay = std::chrono::milliseconds(100);
-    duration longest_delay = std::chrono::seconds(2);
-};
-
 /// The write took effect, once.
 struct write_applied
 {
@@ -82,7 +75,7 @@
 class settled_write
 {
 public:
-    settled_write(table_transaction transaction, write_retry_limits limits,
+    settled_write(table_transaction transaction, retry_limits limits,
                   random_engine random);
 
     write_step start();
@@ -109,7 +102,7 @@
     std::string written_key() const;
 
     table_transaction transaction_;
-    write_retry_limits limits_;
+    retry_limits limits_;
     random_engine random_;
     int submissions_ = 0;
     int reads_ = 0;
--- a/src/operations/record_change.cpp
+++ b/src/operations/record_change.cpp
@@ -35,6 +35,12 @@
 
 } // namespace
 
+written_record check_record(const nlohmann::json& document,
+                            std::string_view peer)
+{
+    return {record_key(parse_record_document(document, peer)), document.dump()};
+}
+
 row_index index_rows(std::span<const table_row> rows)
 {
     row_index result;
@@ -44,16 +50,15 @@
 }
 
 std::vector<record_change> plan_changes(const row_index& current,
-                                        std::span<const record> wanted,
+                                        std::span<const written_record> wanted,
                                         bool withdraw_others)
 {
     std::vector<record_change> changes;
     std::set<std::string, std::less<>> named;
     for (const auto& each : wanted) {
-        const auto key = record_key(each);
-        if (!named.insert(key).second)
-            throw error("plan changes", key, "the record is given twice");
-        auto change = change_to(current, key, to_json(each).dump());
+        if (!named.insert(each.key).second)
+            throw error("plan changes", each.key, "the record is given twice");
+        auto change = change_to(current, each.key, each.text);
         if (!record_difference(change.before, change.after).empty())
             changes.push_back(std::move(change));
     }
--- a/src/operations/settled_write.cpp
+++ b/src/operations/settled_write.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <random>
 #include <utility>
 
 namespace vanillapost {
@@ -16,8 +15,8 @@
 
 } // namespace
 
-settled_write::settled_write(table_transaction transaction,
-                             write_retry_limits limits, random_engine random)
+settled_write::settled_write(table_transaction transaction, retry_limits limits,
+                             random_engine random)
     : transaction_(std::move(transaction)), limits_(limits), random_(random)
 {
     assert(!transaction_.write_id.empty());
@@ -93,15 +92,7 @@
 
 write_step settled_write::wait()
 {
-    const auto longest =
-        std::min(limits_.longest_delay, limits_.first_delay * (1 << waits_));
-    constexpr int most_doublings = 16;
-    waits_ = std::min(waits_ + 1, most_doublings);
-    // Half of the delay is random, so that operators who all saw the platform
-    // fail do not return to it at once.
-    std::uniform_int_distribution<duration::rep> spread(longest.count() / 2,
-                                                        longest.count());
-    return wait_before_retry{duration(spread(random_))};
+    return wait_before_retry{retry_delay(limits_, waits_++, random_)};
 }
 
 std::string settled_write::written_key() const
--- a/test/operations.cpp
+++ b/test/operations.cpp
@@ -242,8 +242,11 @@
          to_json(data_centre_record{.name = {"b"}, .limit = {}}).dump()},
         {"records/data_centre/c", 6, "w", to_json(kept).dump()},
         {"records/data_centre/d", 7, "w", std::nullopt}};
-    const std::vector<record> wanted = {
+    const std::vector<record> records = {
         kept, changed, data_centre_record{.name = {"d"}, .limit = {}}};
+    std::vector<written_record> wanted;
+    for (const auto& each : records)
+        wanted.push_back(check_record(to_json(each), "test"));
     const auto plan = plan_changes(index_rows(rows), wanted, true);
     ASSERT_EQ(plan.size(), 3u);
     EXPECT_EQ(plan[0].expected, 5u);
