--- /dev/null
+++ b/standins/platform/platform_messages.hpp
@@ -0,0 +1,22 @@
+#ifndef VANILLAPOST_STANDINS_PLATFORM_PLATFORM_MESSAGES_HPP
+#define VANILLAPOST_STANDINS_PLATFORM_PLATFORM_MESSAGES_HPP
+
+#include <string>
+#include <string_view>
+#include <vanillapost/src/membership/instance_list.hpp>
+#include <vanillapost/table.hpp>
+
+namespace vanillapost::standin {
+
+/// \throws error  when `text` is no revision; "" is revision 0
+revision parse_revision(const std::string& text);
+
+/// \throws error  when `text` is no transaction
+table_transaction parse_transaction(std::string_view text);
+
+/// \throws error  when `text` is no instance
+listed_instance parse_instance(std::string_view text);
+
+} // namespace vanillapost::standin
+
+#endif
