Add the entry daemon: the whole path from caller to target

Cause: nothing served a request yet. Ruled out: forwarding payload over the mesh (no back-pressure per request); streaming every answer (one of up to 64 KiB is held until it is whole, so that one that breaks off can be retried unseen by the caller). Change: apps/entry: settings, filter chain, claims, admission, dispatch to held targets or one hop to a peer, retries, hedges, resumption of downloads by range, controllers for records, holds, targets, peers and probes, metrics, status and a leave that drains.

--- /dev/null
+++ b/apps/entry/call_engine.cpp
@@ -0,0 +1,645 @@
+#include "call_engine.hpp"
+
+#include "answer_relay.hpp"
+#include "request_filters.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace vanillapost::entry {
+
+namespace {
+
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr std::size_t max_request_id_bytes = 128;
+
+ran_state ran_of(run_state state)
+{
+    return static_cast<ran_state>(static_cast<int>(state));
+}
+
+target_state parse_target_state(std::span<const io::header_field> headers)
+{
+    const auto text = io::find_header(headers, "Target-State");
+    if (text == "cold")
+        return target_state::cold;
+    if (text == "warm")
+        return target_state::warm;
+    if (text == "draining")
+        return target_state::draining;
+    return target_state::unknown;
+}
+
+/// How a failed call counts for the target that it went to.
+target_answer judge_failure(io::call_failure_kind kind, duration age)
+{
+    target_answer result{.how = completion::broken,
+                         .quality = answer_quality::failed,
+                         .latency = age};
+    if (kind == io::call_failure_kind::refused ||
+        kind == io::call_failure_kind::connect_timeout)
+        result.how = completion::refused;
+    else if (kind == io::call_failure_kind::timeout)
+        result.how = completion::timed_out;
+    return result;
+}
+
+target_answer judge_answer(const attempt& from)
+{
+    target_answer result{.state = from.state, .latency = from.latency};
+    if (from.not_run) {
+        const auto reason = io::find_header(from.headers, "Not-Run");
+        const bool shed = reason == "shed";
+        result.how = shed ? completion::shed : completion::not_run;
+        result.quality = answer_quality::shed;
+    } else if (from.status >= 500) {
+        result.how = completion::failed;
+        result.quality = answer_quality::failed;
+    }
+    return result;
+}
+
+int status_of(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::queue_full:
+    case refusal_reason::displaced:
+        return 429;
+    case refusal_reason::too_late:
+        return status_unavailable;
+    case refusal_reason::expired:
+        return status_gateway_timeout;
+    }
+    return status_unavailable;
+}
+
+std::string_view detail_of(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::queue_full:
+        return "the queue of the service is full";
+    case refusal_reason::displaced:
+        return "requests of a higher class took its place in the queue";
+    case refusal_reason::too_late:
+        return "no target would be free before the deadline";
+    case refusal_reason::expired:
+        return "the deadline passed before a target was free";
+    }
+    return "";
+}
+
+} // namespace
+
+call_engine::call_engine(const call_engine_parts& parts)
+    : parts_(parts),
+      dispatcher_(
+          parts.loop, parts.settings, parts.targets, parts.peers, parts.metrics,
+          {[this](auto... args) { on_headers(args...); },
+           [this](auto... args) { on_data(args...); },
+           [this](auto... args) { on_done(args...); },
+           [this](auto number, auto attempt_number, const auto& failure) {
+               on_failure(number, attempt_number, failure);
+           }}),
+      claim_prefix_(parts.self.name.value + "/" + parts.self.incarnation + "/"),
+      expiry_timer_(parts.loop, [this] { expire_queued(); })
+{
+}
+
+void call_engine::on_records()
+{
+    for (const auto& [name, service] : parts_.records.services())
+        queue_.configure(service);
+    pump();
+}
+
+call_engine::service_state& call_engine::state_of(const service_id& service)
+{
+    return services_[service];
+}
+
+call* call_engine::find(std::uint64_t number)
+{
+    const auto found = calls_.find(number);
+    return found == calls_.end() ? nullptr : found->second.get();
+}
+
+attempt* call_engine::find(call& request, std::uint64_t number)
+{
+    for (auto& each : request.attempts) {
+        if (each.number == number)
+            return &each;
+    }
+    return nullptr;
+}
+
+void call_engine::accept(std::unique_ptr<io::server_exchange> exchange)
+{
+    auto made = std::make_unique<call>();
+    auto& request = *made;
+    request.number = ++last_call_;
+    request.arrived = parts_.loop.now();
+    const auto id = io::find_header(exchange->headers(), "Request-Id");
+    request.request_id = id && id->size() <= max_request_id_bytes
+                             ? std::string(*id)
+                             : claim_prefix_ + std::to_string(request.number);
+    request.exchange = std::move(exchange);
+    request.exchange->on_abort(
+        [this, number = request.number] { on_caller_gone(number); });
+    calls_.emplace(request.number, std::move(made));
+    if (auto why = run_filters(request,
+                               {parts_.records, parts_.peers, request.arrived}))
+        refuse(request, *why);
+    else
+        start(request);
+}
+
+void call_engine::start(call& request)
+{
+    if (request.idempotency_key.empty())
+        place_or_queue(request);
+    else
+        start_claim(request);
+}
+
+void call_engine::start_claim(call& request)
+{
+    const auto number = request.number;
+    const auto with_call = [this, number](auto&& action) {
+        if (auto* found = find(number))
+            action(*found);
+    };
+    claim_handlers handlers;
+    handlers.dispatch = [=, this] {
+        with_call([this](call& each) { place_or_queue(each); });
+    };
+    handlers.answer = [=, this](const stored_outcome& outcome) {
+        with_call([&, this](call& each) {
+            attempt stored;
+            stored.status = outcome.status;
+            stored.body = outcome.body;
+            for (const auto& [name, value] : outcome.headers)
+                stored.headers.push_back({name, value});
+            reply_buffered(each, stored);
+            count(each, request_result::good);
+            finish(each);
+        });
+    };
+    handlers.refuse = [=, this](const refuse_claim& why) {
+        with_call([&, this](call& each) {
+            std::optional<duration> wait;
+            if (why.retry_after > duration(0))
+                wait = why.retry_after;
+            refuse(each, {.status = why.status,
+                          .detail = why.detail,
+                          .step = "idempotency",
+                          .ran = ran_of(why.ran),
+                          .retry_after = wait});
+        });
+    };
+    handlers.finished = [=, this] {
+        with_call([this](call& each) { remove_if_over(each); });
+    };
+    const auto& sent = request.request;
+    request.claim = std::make_unique<claim_driver>(
+        parts_.loop, parts_.platform,
+        claim_request{.service = request.service,
+                      .key = request.idempotency_key,
+                      .digest =
+                          digest_request(sent.method, sent.target, sent.body),
+                      .self = parts_.self,
+                      .write_id = claim_prefix_ + std::to_string(number),
+                      .deadline = request.facts.deadline},
+        [this](const entry_incarnation& who) {
+            return parts_.members.ended_since(who).has_value();
+        },
+        std::move(handlers));
+    request.claim->start();
+}
+
+void call_engine::place_or_queue(call& request)
+{
+    // Those that wait come first.
+    const bool others_wait = queue_.waiting(request.service) > 0;
+    const auto kind = request.facts.attempts == 0 ? "first" : "retry";
+    if (!others_wait && dispatcher_.dispatch(request, kind)) {
+        queue_.on_start(request.service);
+        arm_hedge(request);
+    } else if (!request.forwarded_by.empty()) {
+        const io::header_field full{"Not-Placed", "full"};
+        if (request.exchange)
+            request.exchange->reply(status_unavailable, {&full, 1}, "");
+        finish(request);
+    } else {
+        enqueue(request);
+    }
+}
+
+void call_engine::enqueue(call& request)
+{
+    const auto result = queue_.offer({.id = request.number,
+                                      .service = request.service,
+                                      .kind = request.facts.kind,
+                                      .deadline = request.facts.deadline},
+                                     parts_.loop.now());
+    for (const auto& displaced : result.displaced)
+        refuse_queued(displaced);
+    if (const auto* refused = std::get_if<refused_request>(&result.verdict)) {
+        refuse_queued(*refused);
+        return;
+    }
+    request.queued = true;
+    arm_expiry();
+}
+
+void call_engine::arm_expiry()
+{
+    if (const auto at = queue_.next_expiry())
+        expiry_timer_.start_once(
+            std::max(*at - parts_.loop.now(), duration(0)));
+}
+
+void call_engine::expire_queued()
+{
+    for (const auto& refused : queue_.expire(parts_.loop.now()))
+        refuse_queued(refused);
+    arm_expiry();
+}
+
+void call_engine::pump()
+{
+    if (queue_.waiting() == 0 || std::exchange(pumping_, true))
+        return;
+    for (const auto& refused : queue_.expire(parts_.loop.now()))
+        refuse_queued(refused);
+    for (const auto& [service, record] : parts_.records.services()) {
+        while (queue_.waiting(service) > 0 && dispatcher_.has_place(service)) {
+            const auto next = queue_.take(service, parts_.loop.now());
+            auto* request = next ? find(next->id) : nullptr;
+            if (!request)
+                break;
+            request->queued = false;
+            request->full_peers = 0;
+            request->tried_peers.clear();
+            if (!dispatcher_.dispatch(*request, "first")) {
+                enqueue(*request);
+                break;
+            }
+            queue_.on_start(service);
+            arm_hedge(*request);
+        }
+    }
+    pumping_ = false;
+    arm_expiry();
+}
+
+void call_engine::arm_hedge(call& request)
+{
+    const auto at = state_of(request.service)
+                        .hedging.hedge_at(request.facts, parts_.loop.now());
+    if (!at || !request.forwarded_by.empty())
+        return;
+    request.timer.emplace(
+        parts_.loop, [this, number = request.number] { on_hedge(number); });
+    request.timer->start_once(std::max(*at - parts_.loop.now(), duration(0)));
+}
+
+void call_engine::on_hedge(std::uint64_t number)
+{
+    auto* request = find(number);
+    const bool waits = request && request->attempts.size() == 1 &&
+                       request->answer.winner == 0 && !request->finished;
+    if (!waits || queue_.waiting(request->service) > 0)
+        return;
+    auto& state = state_of(request->service);
+    if (!state.hedging.try_hedge(request->facts, parts_.loop.now(),
+                                 state.budget))
+        return;
+    if (dispatcher_.dispatch(*request, "hedge"))
+        queue_.on_start(request->service);
+    else
+        state.budget.refund();
+}
+
+void call_engine::schedule_retry(call& request, time_point at)
+{
+    request.timer.emplace(
+        parts_.loop, [this, number = request.number] { on_retry(number); });
+    request.timer->start_once(std::max(at - parts_.loop.now(), duration(0)));
+}
+
+void call_engine::on_retry(std::uint64_t number)
+{
+    auto* request = find(number);
+    if (!request || request->finished)
+        return;
+    if (!request->answer.streaming) {
+        place_or_queue(*request);
+        return;
+    }
+    // The rest of an answer goes ahead of those that have had nothing yet.
+    if (dispatcher_.dispatch(*request, "retry"))
+        queue_.on_start(request->service);
+    else
+        break_off(*request);
+}
+
+void call_engine::on_headers(std::uint64_t number, std::uint64_t attempt_number,
+                             int status,
+                             std::span<const io::header_field> headers)
+{
+    auto* request = find(number);
+    auto* from = request ? find(*request, attempt_number) : nullptr;
+    if (!from)
+        return;
+    from->status = status;
+    from->headers.assign(headers.begin(), headers.end());
+    from->latency = parts_.loop.now() - from->started;
+    from->state = parse_target_state(headers);
+    const bool refused = status == status_unavailable;
+    from->not_run = refused && io::find_header(headers, "Not-Run") &&
+                    std::holds_alternative<target_place>(from->where);
+    from->not_placed = refused && io::find_header(headers, "Not-Placed") &&
+                       std::holds_alternative<peer_place>(from->where);
+    if (!from->not_run && !from->not_placed)
+        choose_winner(*request, *from);
+}
+
+void call_engine::choose_winner(call& request, attempt& from)
+{
+    auto& answer = request.answer;
+    if (answer.winner != 0)
+        return;
+    if (answer.streaming && !continues(request, from)) {
+        break_off(request);
+        return;
+    }
+    answer.winner = from.number;
+    const auto winner = from.number;
+    std::vector<std::uint64_t> losers;
+    for (const auto& each : request.attempts) {
+        if (each.number != winner)
+            losers.push_back(each.number);
+    }
+    for (const auto loser : losers) {
+        dispatcher_.cancel(request, loser);
+        queue_.on_cancelled(request.service);
+    }
+    auto* kept = find(request, winner);
+    if (!answer.streaming && request.exchange && !request.claim &&
+        has_to_stream(request, *kept))
+        start_streaming(request, *kept);
+}
+
+void call_engine::on_data(std::uint64_t number, std::uint64_t attempt_number,
+                          std::string_view data)
+{
+    auto* request = find(number);
+    auto* from = request ? find(*request, attempt_number) : nullptr;
+    if (!from || request->answer.winner != attempt_number)
+        return;
+    if (request->answer.streaming) {
+        relay(*request, *from, data);
+        return;
+    }
+    from->body += data;
+    if (request->exchange && has_to_stream(*request, *from))
+        start_streaming(*request, *from);
+}
+
+void call_engine::on_done(std::uint64_t number, std::uint64_t attempt_number)
+{
+    auto* request = find(number);
+    auto* from = request ? find(*request, attempt_number) : nullptr;
+    if (!from)
+        return;
+    const auto ended =
+        end_attempt(*request, attempt_number, judge_answer(*from));
+    if (ended.not_placed)
+        on_not_placed(*request, ended);
+    else if (ended.not_run)
+        on_failed_attempt(*request, ended, {.ran = run_state::no},
+                          status_unavailable, "the target refused it");
+    else
+        on_whole_answer(*request, ended);
+    pump();
+}
+
+void call_engine::on_failure(std::uint64_t number, std::uint64_t attempt_number,
+                             const io::call_failure& failure)
+{
+    auto* request = find(number);
+    auto* from = request ? find(*request, attempt_number) : nullptr;
+    if (!from)
+        return;
+    const auto age = parts_.loop.now() - from->started;
+    const auto ended =
+        end_attempt(*request, attempt_number, judge_failure(failure.kind, age));
+    if (const auto* peer = std::get_if<peer_place>(&ended.where))
+        parts_.peers.on_result(peer->peer, request->service,
+                               forward_result::failed);
+    const auto ran = failure.sent ? run_state::maybe : run_state::no;
+    const int status = failure.kind == io::call_failure_kind::timeout
+                           ? status_gateway_timeout
+                           : status_bad_gateway;
+    on_failed_attempt(*request, ended, {.ran = ran}, status, failure.what);
+    pump();
+}
+
+attempt call_engine::end_attempt(call& request, std::uint64_t number,
+                                 const target_answer& how)
+{
+    const auto now = parts_.loop.now();
+    auto ended = dispatcher_.end(request, number, how);
+    if (how.how == completion::good || how.how == completion::slow)
+        queue_.on_completion(request.service, now, now - ended.started);
+    else
+        queue_.on_cancelled(request.service);
+    if (const auto* target = std::get_if<target_place>(&ended.where)) {
+        if (ended.status != 0)
+            parts_.probes.on_traffic(target->target);
+    }
+    return ended;
+}
+
+void call_engine::on_whole_answer(call& request, const attempt& from)
+{
+    if (const auto* peer = std::get_if<peer_place>(&from.where))
+        parts_.peers.on_result(peer->peer, request.service,
+                               forward_result::placed);
+    const auto now = parts_.loop.now();
+    if (from.status < 500) {
+        auto& state = state_of(request.service);
+        state.budget.on_success();
+        state.hedging.observe(now - from.started);
+    }
+    if (request.claim)
+        store_outcome(request, from);
+    if (request.answer.streaming) {
+        if (request.exchange)
+            request.exchange->finish();
+    } else {
+        reply_buffered(request, from);
+    }
+    const bool late = now - request.arrived > request.objective;
+    count(request, from.status >= 500 ? request_result::failed
+                   : late             ? request_result::slow
+                                      : request_result::good);
+    finish(request);
+}
+
+void call_engine::store_outcome(call& request, const attempt& from)
+{
+    stored_outcome outcome{.status = from.status, .headers = {}, .body = {}};
+    outcome.body_kept = from.body.size() <= max_kept_body_bytes;
+    if (outcome.body_kept)
+        outcome.body = from.body;
+    const auto type = io::find_header(from.headers, "Content-Type");
+    if (type)
+        outcome.headers.emplace_back("Content-Type", *type);
+    request.claim->on_outcome(outcome);
+}
+
+void call_engine::on_not_placed(call& request, const attempt& from)
+{
+    const auto& peer = std::get<peer_place>(from.where).peer;
+    parts_.peers.on_result(peer, request.service, forward_result::full);
+    // It never reached a target, so that it does not count as an attempt.
+    --request.facts.attempts;
+    ++request.full_peers;
+    if (request.attempts.empty() && !request.finished)
+        place_or_queue(request);
+}
+
+void call_engine::on_failed_attempt(call& request, const attempt& from,
+                                    const attempt_failure& failure, int status,
+                                    std::string_view detail)
+{
+    if (request.answer.winner == from.number)
+        request.answer.winner = 0;
+    request.ran = std::max(request.ran, failure.ran);
+    const bool other_attempt_runs = !request.attempts.empty();
+    if (request.finished || other_attempt_runs)
+        return;
+    if (request.answer.streaming) {
+        if (!can_resume(request)) {
+            break_off(request);
+            return;
+        }
+        ask_for_rest(request);
+    }
+    const auto decision = decide_retry(
+        failure, request.facts, parts_.loop.now(), retry_settings{},
+        state_of(request.service).budget, parts_.random);
+    io::log(io::log_level::debug, detail,
+            {{"step", "dispatch"}, {"request_id", request.request_id}});
+    if (const auto* again = std::get_if<retry_at>(&decision))
+        schedule_retry(request, again->at);
+    else
+        give_final_answer(request, std::get<give_up>(decision), status, detail);
+}
+
+void call_engine::give_final_answer(call& request, const give_up& decision,
+                                    int status, std::string_view detail)
+{
+    if (request.answer.streaming) {
+        break_off(request);
+        return;
+    }
+    const auto ran = std::max(request.ran, decision.ran);
+    if (request.claim)
+        request.claim->on_failure(ran);
+    refuse(request, {.status = status,
+                     .detail = std::string(detail),
+                     .step = "dispatch",
+                     .ran = ran_of(ran),
+                     .retry_after = decision.retry_after});
+}
+
+void call_engine::break_off(call& request)
+{
+    // Closes the connection, so that the caller sees a broken answer.
+    request.exchange.reset();
+    count(request, request_result::failed);
+    finish(request);
+}
+
+void call_engine::on_caller_gone(std::uint64_t number)
+{
+    auto* request = find(number);
+    if (!request || request->finished)
+        return;
+    request->exchange.reset();
+    const bool runs_on = request->dispatched && !request->facts.idempotent();
+    if (runs_on && !request->attempts.empty())
+        return; // its outcome is worth knowing
+    if (request->claim && !request->dispatched)
+        request->claim->on_cancelled();
+    finish(*request);
+}
+
+void call_engine::refuse(call& request, const problem& why)
+{
+    if (request.finished)
+        return;
+    if (request.exchange)
+        reply_problem(*request.exchange, why, request.request_id);
+    count(request, why.ran == ran_state::no ? request_result::refused
+                                            : request_result::failed);
+    finish(request);
+}
+
+void call_engine::refuse_queued(const refused_request& refused)
+{
+    auto* request = find(refused.request.id);
+    if (!request)
+        return;
+    request->queued = false;
+    if (request->claim)
+        request->claim->on_failure(request->ran);
+    refuse(*request, {.status = status_of(refused.reason),
+                      .detail = std::string(detail_of(refused.reason)),
+                      .step = "admission",
+                      .ran = ran_of(request->ran),
+                      .retry_after = refused.retry_after});
+}
+
+void call_engine::count(const call& request, request_result result)
+{
+    // The entry that forwarded the request counts it.
+    if (request.forwarded_by.empty() && parts_.records.find(request.service))
+        parts_.metrics.count_request(request.service, result,
+                                     parts_.loop.now() - request.arrived);
+}
+
+void call_engine::finish(call& request)
+{
+    request.finished = true;
+    if (std::exchange(request.queued, false))
+        queue_.remove(request.service, request.number);
+    while (!request.attempts.empty()) {
+        dispatcher_.cancel(request, request.attempts.front().number);
+        queue_.on_cancelled(request.service);
+    }
+    if (request.timer)
+        request.timer->cancel();
+    remove_if_over(request);
+}
+
+void call_engine::remove_if_over(call& request)
+{
+    const bool claim_open = request.claim && !request.claim->finished();
+    if (!request.finished || claim_open)
+        return;
+    const auto found = calls_.find(request.number);
+    if (found == calls_.end())
+        return;
+    if (ended_.empty())
+        parts_.loop.post([this] { std::exchange(ended_, {}); });
+    ended_.push_back(std::move(found->second));
+    calls_.erase(found);
+}
+
+} // namespace vanillapost::entry
--- /dev/null
+++ b/apps/entry/claim_driver.hpp
@@ -0,0 +1,60 @@
+#ifndef VANILLAPOST_APPS_ENTRY_CLAIM_DRIVER_HPP
+#define VANILLAPOST_APPS_ENTRY_CLAIM_DRIVER_HPP
+
+#include "vanillapost/idempotency.hpp"
+#include "vanillapost/io.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace vanillapost::entry {
+
+/// What a claim asks of the request that it belongs to.
+struct claim_handlers
+{
+    std::function<void()> dispatch;
+    std::function<void(const stored_outcome&)> answer;
+    std::function<void(const refuse_claim&)> refuse;
+    std::function<void()> finished;
+};
+
+/// Drives one \ref booking_claim with the platform and a timer.
+class claim_driver
+{
+public:
+    claim_driver(io::event_loop& loop, io::platform_client& platform,
+                 claim_request request, ended_predicate ended,
+                 claim_handlers handlers);
+    ~claim_driver();
+
+    void start();
+    void on_outcome(const stored_outcome& outcome);
+    void on_failure(run_state ran);
+    void on_cancelled();
+
+    bool finished() const
+    {
+        return claim_.finished();
+    }
+
+private:
+    void run(const claim_actions& actions);
+    void carry_out(const submit_claim& action);
+    void carry_out(const wake_claim& action);
+    void carry_out(const dispatch_claimed& action);
+    void carry_out(const answer_stored& action);
+    void carry_out(const refuse_claim& action);
+
+    io::event_loop& loop_;
+    io::platform_client& platform_;
+    booking_claim claim_;
+    claim_handlers handlers_;
+    io::timer timer_;
+    /// Tells answers of the platform that come after this has gone.
+    std::shared_ptr<bool> alive_;
+    bool told_finished_ = false;
+};
+
+} // namespace vanillapost::entry
+
+#endif
