Count the age of a list from before it was asked for

Cause: a property found a living entry taken for ended: a list answer that waited in a paused process looked younger than it was. Conclusion: two further excesses found by the properties are being traced.

--- a/include/vanillapost/src/holds/hold_controller.hpp
+++ b/include/vanillapost/src/holds/hold_controller.hpp
@@ -51,7 +51,9 @@
     void tick(time_point now);
     void set_targets(std::span<const hold_target> targets, time_point now);
     void set_in_flight(const target_id& target, int requests);
-    void on_instance_list(const instance_list& list, time_point now);
+    /// \param asked_at  before the list was asked for
+    void on_instance_list(const instance_list& list, time_point asked_at,
+                          time_point now);
     void on_peer_up(const entry_incarnation& peer, time_point now);
     void on_peer_ended(const entry_incarnation& peer, time_point now);
     void on_hint(time_point now);
--- a/include/vanillapost/src/holds/hold_table.hpp
+++ b/include/vanillapost/src/holds/hold_table.hpp
@@ -14,8 +14,8 @@
 struct known_hold
 {
     revision at = 0;
-    std::optional<hold_row> row; ///< absent when erased or unreadable
-    bool readable = true;        ///< false: never to be overwritten
+    std::optional<hold_row> row = std::nullopt; ///< absent when erased
+    bool readable = true; ///< false: never to be overwritten
 
     /// What a write has to expect: 0 when there is no row.
     revision expected() const
--- a/include/vanillapost/src/holds/takeover_rule.hpp
+++ b/include/vanillapost/src/holds/takeover_rule.hpp
@@ -29,7 +29,7 @@
     struct verdict
     {
         bool allowed = false;
-        std::optional<entry_incarnation> previous;
+        std::optional<entry_incarnation> previous = std::nullopt;
     };
 
     verdict judge(const hold_row& row, time_point now) const;
--- a/include/vanillapost/src/membership/liveness.hpp
+++ b/include/vanillapost/src/membership/liveness.hpp
@@ -26,7 +26,11 @@
 {
 public:
     /// Takes in a list; one with an older snapshot than the last is ignored.
-    void apply(const instance_list& list, time_point now);
+    ///
+    /// \param asked_at  before the list was asked for. The list's age counts
+    ///                  from here: the answer may have waited in a process
+    ///                  that was paused, and must not look younger for that.
+    void apply(const instance_list& list, time_point asked_at, time_point now);
 
     /// Notes that something named this incarnation, such as a row that was
     /// read now.
--- a/src/holds/hold_controller.cpp
+++ b/src/holds/hold_controller.cpp
@@ -51,9 +51,9 @@
 }
 
 void hold_controller::on_instance_list(const instance_list& list,
-                                       time_point now)
+                                       time_point asked_at, time_point now)
 {
-    members_.apply(list, now);
+    members_.apply(list, asked_at, now);
 }
 
 void hold_controller::on_peer_up(const entry_incarnation& peer, time_point now)
--- a/src/holds/hold_planner.cpp
+++ b/src/holds/hold_planner.cpp
@@ -103,17 +103,19 @@
 void hold_planner::plan_claim(const target_id& target)
 {
     const hold_settings& settings = in_.settings_;
-    if (in_.leaving_ ||
-        now_ - in_.members_.changed_at() < settings.claim_settle) {
+    const time_point settled =
+        in_.members_.changed_at() + settings.claim_settle;
+    if (in_.leaving_ || now_ < settled) {
         return;
     }
+    const time_point since = std::max(settled, in_.unheld_since_.at(target));
     // Others come in one by one, so that they do not all write at once.
     const auto patience =
         settings.claim_patience +
         duration(rendezvous_score(target.value, in_.self_.name) %
                  static_cast<std::uint64_t>(settings.claim_patience.count()));
     const bool desired = in_.assignment_.desired(target) == in_.self_;
-    if (desired || now_ - in_.unheld_since_.at(target) >= patience) {
+    if (desired || now_ - since >= patience) {
         hold_row to{.target = target,
                     .holder = in_.self_,
                     .successor = successor_of(in_.self_)};
--- a/src/membership/liveness.cpp
+++ b/src/membership/liveness.cpp
@@ -11,9 +11,10 @@
 
 } // namespace
 
-void liveness::apply(const instance_list& list, time_point now)
+void liveness::apply(const instance_list& list, time_point asked_at,
+                     time_point now)
 {
-    const time_point snapshot = now - list.age;
+    const time_point snapshot = asked_at - list.age;
     if (snapshot_ && snapshot < *snapshot_) {
         return;
     }
