--- a/src/holds/hold_controller.cpp
+++ b/src/holds/hold_controller.cpp
@@ -224,6 +224,9 @@
     }
     const target_id target{row.key.substr(hold_prefix.size())};
     drop_settled_write(target);
+    if (table_.row(target)) {
+        unheld_since_.erase(target);
+    }
     if (const hold_row* known = table_.row(target)) {
         members_.note_named(known->holder, now);
         if (known->successor) {
--- a/src/holds/hold_planner.cpp
+++ b/src/holds/hold_planner.cpp
@@ -1,6 +1,7 @@
 #include "hold_planner.hpp"
 
 #include <algorithm>
+#include <cassert>
 
 namespace vanillapost::detail {
 
@@ -105,7 +106,7 @@
     const hold_settings& settings = in_.settings_;
     const time_point settled =
         in_.members_.changed_at() + settings.claim_settle;
-    if (in_.leaving_ || now_ < settled) {
+    if (in_.leaving_ || in_.table_.row(target) || now_ < settled) {
         return;
     }
     const time_point since = std::max(settled, in_.unheld_since_.at(target));
@@ -253,6 +254,8 @@
                            std::optional<hold_row> to)
 {
     const known_hold* known = in_.table_.find(target);
+    // A claim must never replace a row: its holder may be using it.
+    assert(kind != hold_write_kind::claim || !known || !known->row);
     writes_.push_back({.kind = kind,
                        .target = target,
                        .expected = known ? known->expected() : 0,
