--- a/include/vanillapost/src/idempotency/booking_claim.hpp
+++ b/include/vanillapost/src/idempotency/booking_claim.hpp
@@ -19,6 +19,9 @@
     entry_incarnation self;
     std::string write_id; ///< unique for this request; prefix of its writes
     time_point deadline{};
+    /// The caller has sent the key before, so that an earlier copy may have
+    /// run even when this one does not.
+    bool repeat = false;
 };
 
 struct claim_settings
--- a/include/vanillapost/src/idempotency/claim_row.hpp
+++ b/include/vanillapost/src/idempotency/claim_row.hpp
@@ -24,8 +24,8 @@
 struct stored_outcome
 {
     int status = 0;
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers{};
+    std::string body{};
     bool body_kept = true; ///< false when it was too long to keep
 
     bool operator==(const stored_outcome&) const = default;
@@ -38,7 +38,7 @@
     std::string request_digest; ///< of method, path and body
     entry_incarnation claimant;
     claim_state state = claim_state::claimed;
-    stored_outcome outcome;
+    stored_outcome outcome{};
     std::int64_t expires_unix_ms = 0;
 
     bool operator==(const claim_row&) const = default;
--- a/src/idempotency/booking_claim.cpp
+++ b/src/idempotency/booking_claim.cpp
@@ -249,7 +249,7 @@
 claim_actions booking_claim::refuse_for_outage()
 {
     return refuse({.status = unavailable_status,
-                   .ran = run_state::no,
+                   .ran = request_.repeat ? run_state::maybe : run_state::no,
                    .retry_after = settings_.retry_after,
                    .detail = "the table that keeps bookings apart is out"});
 }
--- a/src/idempotency/claim_row.cpp
+++ b/src/idempotency/claim_row.cpp
@@ -122,7 +122,8 @@
     if (row.state == claim_state::done) {
         document["status"] = row.outcome.status;
         document["headers"] = row.outcome.headers;
-        document["body_hex"] = to_hex(row.outcome.body);
+        if (!row.outcome.body.empty())
+            document["body_hex"] = to_hex(row.outcome.body);
         document["body_kept"] = row.outcome.body_kept;
     }
     // Headers of a target may hold bytes that are no UTF-8.
--- a/src/measuring/probe_schedule.cpp
+++ b/src/measuring/probe_schedule.cpp
@@ -19,14 +19,17 @@
                           random_engine& random)
 {
     const auto [found, added] = targets_.try_emplace(target);
-    found->second.alone = alone;
-    if (!added)
+    probed& probe = found->second;
+    probe.alone = alone;
+    if (!added) {
+        probe.due = std::max(probe.due, probe.last_start + interval(probe));
         return;
+    }
     // The previous holder may have probed just now. The random part keeps an
     // entry that gains many targets from probing them all at once.
     const auto spread =
         random(static_cast<std::uint32_t>(settings_.interval.count()) + 1);
-    found->second.due = now + 2 * settings_.interval + duration(spread);
+    probe.due = now + 2 * settings_.interval + duration(spread);
 }
 
 void probe_schedule::release(const target_id& target)
