--- a/include/vanillapost/src/io/mesh.hpp
+++ b/include/vanillapost/src/io/mesh.hpp
@@ -34,8 +34,10 @@
         on_message;
     std::function<void(const entry_incarnation&)> on_up;
     std::function<void(const entry_incarnation&)> on_down;
-    /// No process listens at the peer's address any more: a process that had
-    /// this incarnation has ended.
+    /// The process that had this incarnation has ended: its address refused
+    /// a connection, or another incarnation listens there now. Comes after
+    /// `on_down`, once. A timeout, or the same name at another address, is no
+    /// proof and never leads here.
     std::function<void(const entry_incarnation&)> on_ended;
 };
 
@@ -45,6 +47,10 @@
 /// The entry with the smaller name connects; both sides send a hello with
 /// name and incarnation first. Messages keep their order on a connection and
 /// may be lost when it ends.
+///
+/// \note Handlers may call any function, but must not destroy the mesh.
+/// \warning Keep listening until the process exits: peers take a refused
+///          connection as proof that it has ended.
 class mesh
 {
 public:
--- a/src/io/socket.cpp
+++ b/src/io/socket.cpp
@@ -55,10 +55,19 @@
 socket_address to_socket_address(const address& value)
 {
     socket_address made;
-    made.length = sizeof made.storage;
-    auto text = to_string(value);
-    if (evutil_parse_sockaddr_port(text.c_str(), made.get(), &made.length) != 0)
-        throw error("connect", text, "expected an IP number with a port");
+    auto* v4 = reinterpret_cast<sockaddr_in*>(&made.storage);
+    auto* v6 = reinterpret_cast<sockaddr_in6*>(&made.storage);
+    if (inet_pton(AF_INET, value.ip.c_str(), &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(value.port);
+        made.length = sizeof *v4;
+    } else if (inet_pton(AF_INET6, value.ip.c_str(), &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(value.port);
+        made.length = sizeof *v6;
+    } else {
+        throw error("use address", to_string(value), "expected an IP number");
+    }
     return made;
 }
 
