--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -4,9 +4,11 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <cstdio>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
+#include <sstream>
+#include <utility>
 
 namespace {
 
@@ -81,47 +83,69 @@
     return settings;
 }
 
+std::uint64_t count_other(const call_counts& counts)
+{
+    return counts.count(outcome::failed) + counts.count(outcome::unreachable) +
+           counts.count(outcome::truncated) +
+           counts.count(outcome::wrong_answer);
+}
+
+std::string format_ms(double value)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1) << value;
+    return out.str();
+}
+
 void print_progress(const load_run& run, std::size_t second)
 {
     const auto& seconds = run.statistics().seconds();
     if (second >= seconds.size())
         return;
     const auto& now = seconds[second];
-    std::fprintf(stderr,
-                 "%4zu s  offered %5llu  ok %5llu  refused %4llu  other %4llu"
-                 "  p50 %7.1f ms  p99 %7.1f ms  in flight %zu\n",
-                 second, static_cast<unsigned long long>(now.offered()),
-                 static_cast<unsigned long long>(now.count(outcome::ok)),
-                 static_cast<unsigned long long>(now.count(outcome::refused)),
-                 static_cast<unsigned long long>(
-                     now.count(outcome::maybe) + now.count(outcome::failed) +
-                     now.count(outcome::unreachable) +
-                     now.count(outcome::truncated) +
-                     now.count(outcome::wrong_answer)),
-                 now.latencies().quantile_ms(0.5),
-                 now.latencies().quantile_ms(0.99), run.in_flight());
+    using std::setw;
+    std::cerr << setw(4) << second << " s  offered " << setw(5) << now.offered()
+              << "  ok " << setw(5) << now.count(outcome::ok) << "  refused "
+              << setw(4) << now.count(outcome::refused) << "  maybe " << setw(3)
+              << now.count(outcome::maybe) << "  other " << setw(3)
+              << count_other(now) << "  p50 " << setw(6)
+              << format_ms(now.latencies().quantile_ms(0.5)) << " ms  p99 "
+              << setw(6) << format_ms(now.latencies().quantile_ms(0.99))
+              << " ms\n";
+}
+
+void print_row(const std::string& name, const call_counts& counts)
+{
+    const auto& latencies = counts.latencies();
+    using std::setw;
+    std::cout << std::left << setw(16) << name << std::right << setw(8)
+              << counts.offered() << setw(8) << counts.count(outcome::ok)
+              << setw(8) << counts.count(outcome::refused) << setw(7)
+              << counts.count(outcome::maybe) << setw(7) << count_other(counts)
+              << setw(10) << format_ms(latencies.quantile_ms(0.5)) << setw(10)
+              << format_ms(latencies.quantile_ms(0.99)) << setw(10)
+              << format_ms(latencies.quantile_ms(0.999)) << "\n";
+}
+
+void print_table(const std::string& title, const stretch_counts& counts)
+{
+    std::cout << title << "\n"
+              << "service          offered      ok refused  maybe  other"
+                 "    p50 ms    p99 ms  p99.9 ms\n";
+    for (const auto& [name, service] : counts.services)
+        print_row(name, service);
 }
 
-void print_table(const stretch_counts& all)
+void print_tables(const load_run& run)
 {
-    std::printf("%-16s %8s %8s %8s %6s %7s %9s %9s %9s\n", "service", "offered",
-                "ok", "refused", "maybe", "failed", "p50 ms", "p99 ms",
-                "p99.9 ms");
-    for (const auto& [name, counts] : all.services) {
-        const auto settled = counts.count(outcome::ok) +
-                             counts.count(outcome::refused) +
-                             counts.count(outcome::maybe);
-        std::printf(
-            "%-16s %8llu %8llu %8llu %6llu %7llu %9.1f %9.1f %9.1f\n",
-            name.c_str(), static_cast<unsigned long long>(counts.offered()),
-            static_cast<unsigned long long>(counts.count(outcome::ok)),
-            static_cast<unsigned long long>(counts.count(outcome::refused)),
-            static_cast<unsigned long long>(counts.count(outcome::maybe)),
-            static_cast<unsigned long long>(counts.offered() - settled),
-            counts.latencies().quantile_ms(0.5),
-            counts.latencies().quantile_ms(0.99),
-            counts.latencies().quantile_ms(0.999));
+    const auto& phases = run.statistics().phases();
+    const auto lengths = run.phase_seconds();
+    for (std::size_t i = 0; phases.size() > 1 && i < phases.size(); ++i) {
+        std::ostringstream title;
+        title << "phase " << i + 1 << ", " << lengths[i] << " s";
+        print_table(title.str(), phases[i]);
     }
+    print_table("whole run", run.statistics().all());
 }
 
 void write_file(const std::string& path, const std::string& text)
@@ -147,7 +171,7 @@
     if (!line.svg.empty())
         write_file(line.svg, plot_svg(statistics.seconds()));
     if (line.json != "-")
-        print_table(statistics.all());
+        print_tables(run);
 }
 
 void run_load(const command_line& line)
@@ -155,7 +179,12 @@
     io::event_loop loop;
     load_run run(loop, make_settings(line), [&loop] { loop.stop(); });
     std::size_t second = 0;
-    io::timer progress(loop, [&] { print_progress(run, second++); });
+    // A second is shown once most of its calls have ended.
+    bool first = true;
+    io::timer progress(loop, [&] {
+        if (!std::exchange(first, false))
+            print_progress(run, second++);
+    });
     if (!line.quiet)
         progress.start_every(std::chrono::seconds(1));
     loop.on_signal(SIGTERM, [&loop] { loop.stop(); });
--- a/apps/load/statistics.hpp
+++ b/apps/load/statistics.hpp
@@ -81,6 +81,10 @@
     {
         return all_;
     }
+    const std::vector<stretch_counts>& phases() const
+    {
+        return phases_;
+    }
     const std::vector<call_counts>& seconds() const
     {
         return seconds_;
