Ask for the age of the list in the entry

Cause: the library now takes the time at which the list was asked for. Change: the entry hands it over.

--- a/apps/entry/entry_server.cpp
+++ b/apps/entry/entry_server.cpp
@@ -106,18 +106,19 @@
         register_self();
     if (std::exchange(reading_list_, true))
         return;
-    platform_.instances([this](const auto& result) {
+    const auto asked_at = loop_.now();
+    platform_.instances([this, asked_at](const auto& result) {
         reading_list_ = false;
         const auto* list = std::get_if<instance_list>(&result);
         metrics_.set_platform_reachable(list != nullptr);
         if (list)
-            on_list(*list);
+            on_list(*list, asked_at);
     });
 }
 
-void entry_server::on_list(const instance_list& list)
+void entry_server::on_list(const instance_list& list, time_point asked_at)
 {
-    holds_.on_instance_list(list, loop_.now());
+    holds_.on_instance_list(list, asked_at, loop_.now());
     holds_io_.run_actions();
     follow_members();
     const bool listed =
--- a/apps/entry/entry_server.hpp
+++ b/apps/entry/entry_server.hpp
@@ -48,7 +48,7 @@
     void on_holds();
     void register_self();
     void read_list();
-    void on_list(const instance_list& list);
+    void on_list(const instance_list& list, time_point asked_at);
     void follow_members();
     void tick();
     void leave_if_drained();
