--- a/include/vanillapost/src/admission/admission_queue.hpp
+++ b/include/vanillapost/src/admission/admission_queue.hpp
@@ -41,7 +41,7 @@
 /// service's queue full. When services contend, bookings go before lookups
 /// and lookups before downloads, both for the next dispatch and for the last
 /// waiting place. Every offered request leaves exactly once: by `take`,
-/// `remove`, a refusal, `displaced` or `expire`.
+/// `remove`, a refusal, `displaced` or `expire`; `put_back` enters it again.
 class admission_queue
 {
 public:
@@ -72,6 +72,10 @@
     std::optional<waiting_request> take(const service_id& service,
                                         time_point now);
 
+    /// Returns a request that was taken but found no slot after all. It is
+    /// not refused, since it was admitted before.
+    void put_back(const waiting_request& request);
+
     /// Takes out requests that cannot make their deadline any more.
     std::vector<refused_request> expire(time_point now);
 
--- a/include/vanillapost/src/limits/target_limiter.hpp
+++ b/include/vanillapost/src/limits/target_limiter.hpp
@@ -40,6 +40,9 @@
     int connections = 200;  ///< open connections that the target bears
     int good_per_level = 8; ///< good completions to rise by one slot
 
+    /// Longest that a request may run, also within half of the limit.
+    duration max_attempt = std::chrono::seconds(5);
+
     /// Time after `exclusive_until` for which a new holder keeps to half.
     duration grace = std::chrono::seconds(1);
 
--- a/include/vanillapost/src/routing/target_picker.hpp
+++ b/include/vanillapost/src/routing/target_picker.hpp
@@ -94,6 +94,12 @@
     /// Whether requests avoid the target at present.
     bool avoided(const target_id& target, time_point now) const;
 
+    /// When the next target that is passed over may be tried, or sooner.
+    ///
+    /// \warning Nothing else may happen by then: try waiting requests again
+    /// at this time.
+    std::optional<time_point> next_change(time_point now) const;
+
     /// Whether `latency` is far above that of the service's other targets.
     bool stands_out(const target_id& target, duration latency) const;
 
--- a/src/admission/admission_queue.cpp
+++ b/src/admission/admission_queue.cpp
@@ -154,6 +154,12 @@
     return request;
 }
 
+void admission_queue::put_back(const waiting_request& request)
+{
+    services_[request.service].waiting.push(request);
+    ++total_;
+}
+
 std::vector<refused_request> admission_queue::expire(time_point now)
 {
     std::vector<refused_request> expired;
--- a/src/limits/target_limiter.cpp
+++ b/src/limits/target_limiter.cpp
@@ -19,6 +19,7 @@
     if (free(now, share) <= 0)
         return std::nullopt;
     const int next = static_cast<int>(running_.size()) + 1;
+    deadline = std::min(deadline, now + settings_.max_attempt);
     // Beyond half of the limit, the work must be over before another entry
     // may use the other half.
     if (next > half(share))
--- a/src/routing/target_picker.cpp
+++ b/src/routing/target_picker.cpp
@@ -245,6 +245,18 @@
            now < found->second.avoided_until;
 }
 
+std::optional<time_point> target_picker::next_change(time_point now) const
+{
+    std::optional<time_point> next;
+    for (const auto& [name, target] : states_) {
+        for (time_point at : {target.avoided_until, target.paused_until}) {
+            if (at > now)
+                next = next ? std::min(*next, at) : at;
+        }
+    }
+    return next;
+}
+
 bool target_picker::stands_out(const target_id& target, duration latency) const
 {
     const double median = median_of_others(target);
@@ -266,9 +278,11 @@
 
 double target_picker::median_of_others(const target_id& target) const
 {
+    // A single answer of another target is no measure for this one.
+    const int least = settings_.samples_to_judge;
     std::vector<double> means;
     for (const auto& [name, other] : states_) {
-        if (name != target && other.latency.samples() > 0)
+        if (name != target && other.latency.samples() >= least)
             means.push_back(*other.latency.mean());
     }
     if (reference_ > 0)
--- a/test/limits.cpp
+++ b/test/limits.cpp
@@ -228,6 +228,13 @@
     EXPECT_FALSE(limiter.try_acquire(start, shared, start + 1s));
 }
 
+TEST(limits, no_deadline_is_later_than_the_longest_attempt)
+{
+    target_limiter limiter(settings(4, 4));
+    EXPECT_EQ(limiter.try_acquire(start, whole, start + 1h)->deadline,
+              start + 5s);
+}
+
 TEST(limits, lapsed_share_is_worth_half)
 {
     target_limiter limiter(settings(4, 4));
