Use a slow target when the wait elsewhere is longer

Cause: while a service was saturated, a target that was avoided as slow stood idle though its answer would have come before a place elsewhere; the same held for a few targets that were avoided after a run of slow answers. Ruled out: using it whenever nothing else is free (its answers would set the tail at loads that the others carry). Change: pick_slow takes the expected wait and leaves out what is slower; admission_queue::expected_wait gives it.

--- a/bench/routing/held_run.hpp
+++ b/bench/routing/held_run.hpp
@@ -156,11 +156,15 @@
 
     bool dispatch_or_forward(std::size_t at, std::uint64_t id)
     {
-        return dispatch(at, at, id) || forward(at, id);
+        if (dispatch(at, at, id) || forward(at, id))
+            return true;
+        // With a long queue, a slow answer is sooner than a place.
+        return entries_[at].queue.waiting() > 0 && dispatch(at, at, id, true);
     }
 
     /// \param origin  the entry that the caller is connected to
-    bool dispatch(std::size_t at, std::size_t origin, std::uint64_t id)
+    bool dispatch(std::size_t at, std::size_t origin, std::uint64_t id,
+                  bool use_slow = false)
     {
         entry& self = entries_[at];
         const time_point now = events_->now();
@@ -174,7 +178,11 @@
                  .local = true,
                  .oldest_age = oldest ? now - *oldest : duration{}});
         }
-        const auto picked = self.picker.pick(candidates, now, random_);
+        const auto picked =
+            use_slow ? self.picker.pick_slow(candidates,
+                                             self.queue.expected_wait(service_),
+                                             now, random_)
+                     : self.picker.pick(candidates, now, random_);
         if (!picked)
             return false;
         const auto found =
--- a/include/vanillapost/src/admission/admission_queue.hpp
+++ b/include/vanillapost/src/admission/admission_queue.hpp
@@ -85,6 +85,9 @@
     std::optional<waiting_request> remove(const service_id& service,
                                           std::uint64_t id);
 
+    /// How long a further request would wait.
+    duration expected_wait(const service_id& service) const;
+
     /// When a caller that is refused now is told to come back.
     duration retry_after(const service_id& service) const;
 
--- a/include/vanillapost/src/routing/target_picker.hpp
+++ b/include/vanillapost/src/routing/target_picker.hpp
@@ -68,10 +68,13 @@
                                   time_point now, random_engine& random) const;
 
     /// Picks also among targets that are avoided for being slow, though not
-    /// among those that fail: for when all else is full and the wait is longer.
+    /// among those that fail: for when all else is full.
+    ///
+    /// \param wait  expected wait for a place elsewhere; a target that is
+    /// slower than that is of no use
     std::optional<target_id>
-    pick_slow(std::span<const target_candidate> candidates, time_point now,
-              random_engine& random) const;
+    pick_slow(std::span<const target_candidate> candidates, duration wait,
+              time_point now, random_engine& random) const;
 
     void on_dispatch(const target_id& target);
 
@@ -148,6 +151,7 @@
     double median_of_others(const target_id& target) const;
     fitness judge_fitness(const target_candidate& candidate, time_point now,
                           bool ignore_avoidance) const;
+    bool slower_than(const target_candidate& candidate, duration wait) const;
     double score(const target_candidate& candidate, time_point now) const;
     bool too_many_avoided(std::span<const target_candidate> candidates) const;
     std::optional<target_id>
--- a/src/admission/admission_queue.cpp
+++ b/src/admission/admission_queue.cpp
@@ -198,6 +198,16 @@
     return request;
 }
 
+duration admission_queue::expected_wait(const service_id& service) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return {};
+    const service_queue& queue = found->second;
+    const int position = static_cast<int>(queue.waiting.size()) + 1;
+    return queue.meter.expected_wait(position, queue.in_flight);
+}
+
 duration admission_queue::retry_after(const service_id& service) const
 {
     const auto found = services_.find(service);
--- a/src/routing/target_picker.cpp
+++ b/src/routing/target_picker.cpp
@@ -54,9 +54,26 @@
 
 std::optional<target_id>
 target_picker::pick_slow(std::span<const target_candidate> candidates,
-                         time_point now, random_engine& random) const
+                         duration wait, time_point now,
+                         random_engine& random) const
 {
-    return best_of(candidates, now, random, fitness::slow);
+    std::vector<target_candidate> worthwhile;
+    for (const target_candidate& candidate : candidates) {
+        if (!slower_than(candidate, wait))
+            worthwhile.push_back(candidate);
+    }
+    return best_of(worthwhile, now, random, fitness::slow);
+}
+
+bool target_picker::slower_than(const target_candidate& candidate,
+                                duration wait) const
+{
+    const auto found = states_.find(candidate.target);
+    const auto mean =
+        found == states_.end() ? std::nullopt : found->second.latency.mean();
+    const double known =
+        std::max(mean.value_or(0), microseconds(candidate.oldest_age));
+    return known > microseconds(wait);
 }
 
 std::optional<target_id>
--- a/test/routing.cpp
+++ b/test/routing.cpp
@@ -73,7 +73,7 @@
                          static_cast<answer_quality>((event >> 2) % 3));
         const auto picked = event & 64
                                 ? picker.pick(candidates, now, random)
-                                : picker.pick_slow(candidates, now, random);
+                                : picker.pick_slow(candidates, 1h, now, random);
         if (!picked)
             continue;
         const auto found =
@@ -144,7 +144,8 @@
         picker.on_answer(candidates[0].target, start, 100ms,
                          answer_quality::good);
     EXPECT_FALSE(picker.pick(candidates, start, random));
-    EXPECT_TRUE(picker.pick_slow(candidates, start, random));
+    EXPECT_FALSE(picker.pick_slow(candidates, 99ms, start, random));
+    EXPECT_TRUE(picker.pick_slow(candidates, 101ms, start, random));
 }
 
 TEST(routing, overdue_request_tells_of_a_slowdown)
