--- a/include/vanillapost/src/io/http_message.hpp
+++ b/include/vanillapost/src/io/http_message.hpp
@@ -26,8 +26,8 @@
 {
     std::string method = "GET";
     std::string target = "/"; ///< path and query
-    header_list headers;
-    std::string body;
+    header_list headers = {};
+    std::string body = {};
 };
 
 } // namespace vanillapost::io
--- /dev/null
+++ b/test/http.cpp
@@ -0,0 +1,444 @@
+#include "io_support.hpp"
+
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using namespace vanillapost;
+using namespace vanillapost::io;
+using namespace vanillapost::io::test;
+using exchange_ptr = std::unique_ptr<server_exchange>;
+
+const header_list no_headers;
+
+/// A server and a client to it; `handle` decides the answers.
+struct served
+{
+    event_loop loop;
+    http_server::handler handle;
+    std::vector<exchange_ptr> held;
+    http_server server;
+    http_client client;
+
+    explicit served(http_server::handler with, http_server_limits limits = {},
+                    http_client_limits client_limits = {})
+        : handle(std::move(with)),
+          server(loop, limits,
+                 [this](exchange_ptr e) { handle(std::move(e)); }),
+          client(loop, server.listen(any_port), client_limits)
+    {
+    }
+
+    noted_call call(const http_request& request)
+    {
+        noted_call made;
+        made.start(client, request);
+        run_until(loop, [&] { return made.ended(); });
+        return made;
+    }
+};
+
+void echo(exchange_ptr e)
+{
+    header_list headers{{"X-Method", std::string(e->method())},
+                        {"X-Path", std::string(e->path())},
+                        {"X-Value", e->query_value("q")}};
+    e->reply(200, headers, e->body());
+}
+
+TEST(Http, CarriesMethodPathQueryHeadersAndBody)
+{
+    served s(echo);
+    for (auto method : {"GET", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"}) {
+        auto got = s.call({method, "/a/b?q=x%20y", no_headers, "hello"});
+        EXPECT_TRUE(got.done);
+        EXPECT_EQ(got.status, 200);
+        EXPECT_EQ(find_header(got.headers, "x-method"), method);
+        EXPECT_EQ(find_header(got.headers, "X-PATH"), "/a/b");
+        EXPECT_EQ(find_header(got.headers, "X-Value"), "x y");
+        EXPECT_EQ(got.body, "hello");
+    }
+    EXPECT_EQ(s.client.open_connections(), 1U) << "one connection reused";
+}
+
+TEST(Http, HeadAnd204HaveNoBody)
+{
+    served s([](exchange_ptr e) {
+        e->reply(e->path() == "/204" ? 204 : 200, no_headers, "text");
+    });
+    EXPECT_EQ(s.call({"HEAD", "/"}).body, "");
+    auto empty = s.call({"GET", "/204"});
+    EXPECT_TRUE(empty.done);
+    EXPECT_EQ(empty.body, "");
+    EXPECT_EQ(s.call({"GET", "/"}).body, "text") << "framing still right";
+}
+
+TEST(Http, StreamsChunkedOrWithALength)
+{
+    served s([](exchange_ptr e) {
+        header_list headers;
+        if (e->path() == "/length")
+            headers.push_back({"Content-Length", "6"});
+        e->start(200, headers);
+        e->write("abc");
+        e->write("def");
+        e->finish();
+    });
+    auto chunked = s.call({"GET", "/"});
+    EXPECT_EQ(find_header(chunked.headers, "Transfer-Encoding"), "chunked");
+    EXPECT_EQ(chunked.body, "abcdef");
+    auto whole = s.call({"GET", "/length"});
+    EXPECT_EQ(find_header(whole.headers, "Content-Length"), "6");
+    EXPECT_FALSE(find_header(whole.headers, "Transfer-Encoding"));
+    EXPECT_EQ(whole.body, "abcdef");
+}
+
+TEST(Http, AnswerThatBreaksOffIsTruncatedNotWhole)
+{
+    served s([](exchange_ptr e) {
+        header_list headers;
+        if (e->path() == "/length")
+            headers.push_back({"Content-Length", "6"});
+        e->start(200, headers);
+        e->write("abc");
+        if (e->path() == "/length")
+            e->finish();
+    });
+    for (auto path : {"/length", "/chunked"}) {
+        auto got = s.call({"GET", path});
+        ASSERT_TRUE(got.failure) << path;
+        EXPECT_EQ(got.failure->kind, call_failure_kind::truncated);
+        EXPECT_TRUE(got.failure->sent);
+        EXPECT_EQ(got.body, "abc") << "what came is kept, to resume there";
+    }
+}
+
+TEST(Http, DroppedExchangeIsAReset)
+{
+    served s([](exchange_ptr) {});
+    auto got = s.call({"GET", "/"});
+    ASSERT_TRUE(got.failure);
+    EXPECT_EQ(got.failure->kind, call_failure_kind::reset);
+    EXPECT_TRUE(got.failure->sent);
+}
+
+TEST(Http, RefusedCallWasNotSent)
+{
+    event_loop loop;
+    address where = std::make_unique<raw_server>(loop)->where;
+    http_client client(loop, where);
+    noted_call call;
+    call.start(client, {});
+    EXPECT_FALSE(call.ended()) << "no handler before start returns";
+    run_until(loop, [&] { return call.ended(); });
+    ASSERT_TRUE(call.failure);
+    EXPECT_EQ(call.failure->kind, call_failure_kind::refused);
+    EXPECT_FALSE(call.failure->sent);
+    EXPECT_EQ(client.open_connections(), 0U);
+}
+
+TEST(Http, TimeoutAfterSendSaysSent)
+{
+    event_loop loop;
+    raw_server silent(loop);
+    http_client client(loop, silent.where);
+    noted_call call;
+    call.start(client, {}, 50ms);
+    run_until(loop, [&] { return call.ended(); });
+    ASSERT_TRUE(call.failure);
+    EXPECT_EQ(call.failure->kind, call_failure_kind::timeout);
+    EXPECT_TRUE(call.failure->sent);
+    run_until(loop, [&] { return silent.streams.at(0)->closed; });
+}
+
+TEST(Http, CallBeyondTheConnectionLimitWasNotSent)
+{
+    http_client_limits limits;
+    limits.max_connections = 1;
+    served s([&s](exchange_ptr e) { s.held.push_back(std::move(e)); }, {},
+             limits);
+    noted_call first;
+    first.start(s.client, {});
+    auto second = s.call({});
+    ASSERT_TRUE(second.failure);
+    EXPECT_FALSE(second.failure->sent);
+}
+
+TEST(Http, GarbageIsABadAnswer)
+{
+    event_loop loop;
+    raw_server server(loop);
+    http_client client(loop, server.where);
+    noted_call call;
+    call.start(client, {});
+    run_until(loop, [&] {
+        return !server.streams.empty() && !server.streams[0]->received.empty();
+    });
+    server.streams[0]->send("this is not HTTP\r\n\r\n");
+    run_until(loop, [&] { return call.ended(); });
+    ASSERT_TRUE(call.failure);
+    EXPECT_EQ(call.failure->kind, call_failure_kind::bad_answer);
+}
+
+TEST(Http, ConnectionClosedByThePeerIsNotReused)
+{
+    event_loop loop;
+    raw_server server(loop);
+    http_client client(loop, server.where);
+    for (std::size_t i = 0; i < 3; ++i) {
+        noted_call call;
+        call.start(client, {});
+        run_until(loop, [&] {
+            return server.streams.size() == i + 1 &&
+                   !server.streams[i]->received.empty();
+        });
+        server.streams[i]->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        run_until(loop, [&] { return call.ended(); });
+        EXPECT_TRUE(call.done);
+        // The client's loop has not run yet when the next call starts.
+        server.streams[i]->close();
+    }
+}
+
+TEST(Http, CancelClosesTheConnectionAndTellsTheServer)
+{
+    bool aborted = false;
+    served s([&](exchange_ptr e) {
+        e->on_abort([&] { aborted = true; });
+        s.held.push_back(std::move(e));
+    });
+    noted_call call;
+    call.start(s.client, {});
+    run_until(s.loop, [&] { return s.held.size() == 1; });
+    EXPECT_EQ(s.server.in_flight(), 1U);
+    call.handle->cancel();
+    run_until(s.loop, [&] { return aborted; });
+    EXPECT_EQ(s.server.in_flight(), 0U);
+    EXPECT_FALSE(call.ended());
+    // A late answer goes nowhere, and does no harm.
+    s.held[0]->reply(200, no_headers, "late");
+}
+
+TEST(Http, AbortWhileStreamingIsTold)
+{
+    bool aborted = false;
+    served s([&](exchange_ptr e) {
+        e->on_abort([&] { aborted = true; });
+        e->start(200, no_headers);
+        e->write("some");
+        s.held.push_back(std::move(e));
+    });
+    noted_call call;
+    call.start(s.client, {});
+    run_until(s.loop, [&] { return call.body == "some"; });
+    call.handle.reset();
+    run_until(s.loop, [&] { return aborted; });
+    s.held[0]->write("more");
+    s.held[0]->finish();
+}
+
+TEST(Http, SlowReaderCostsBoundedMemoryOnBothSides)
+{
+    constexpr std::size_t total = 32 * 1024 * 1024;
+    constexpr std::size_t piece = 64 * 1024;
+    std::size_t written = 0;
+    served s([&](exchange_ptr e) {
+        header_list headers{{"Content-Length", std::to_string(total)}};
+        e->start(200, headers);
+        auto* to = e.get();
+        auto write_piece = [&, to] {
+            if (written == total)
+                return to->finish();
+            written += piece;
+            to->write(std::string(piece, 'x'));
+            EXPECT_LE(to->pending_bytes(), 2 * piece);
+        };
+        e->on_drained(write_piece);
+        write_piece();
+        s.held.push_back(std::move(e));
+    });
+    std::size_t got = 0;
+    bool paused = false;
+    std::unique_ptr<http_call> handle;
+    noted_call call;
+    auto handlers = call.handlers();
+    handlers.on_data = [&](std::string_view data) {
+        got += data.size();
+        if (!paused)
+            handle->pause();
+        paused = true;
+    };
+    handle = s.client.start({}, handlers, generous);
+    run_until(s.loop, [&] { return paused; });
+    run_for(s.loop, 200ms);
+    EXPECT_LE(got, 2 * piece) << "reads at most what was under way";
+    EXPECT_LT(written, total / 2) << "the server waits for the reader";
+    handle->resume();
+    run_until(s.loop, [&] { return call.done; });
+    EXPECT_EQ(got, total);
+}
+
+TEST(Http, StoppedServerFinishesWhatIsInFlight)
+{
+    served s([&](exchange_ptr e) { s.held.push_back(std::move(e)); });
+    noted_call call;
+    call.start(s.client, {});
+    run_until(s.loop, [&] { return s.held.size() == 1; });
+    s.server.stop_accepting();
+    EXPECT_EQ(s.server.in_flight(), 1U);
+    s.held[0]->reply(200, no_headers, "whole");
+    run_until(s.loop, [&] { return call.ended(); });
+    EXPECT_EQ(call.body, "whole");
+    EXPECT_EQ(find_header(call.headers, "Connection"), "close");
+    run_until(s.loop, [&] { return s.server.in_flight() == 0; });
+    auto next = s.call({});
+    ASSERT_TRUE(next.failure);
+    EXPECT_EQ(next.failure->kind, call_failure_kind::refused);
+}
+
+TEST(Http, DestroyedServerLeavesExchangesHarmless)
+{
+    event_loop loop;
+    exchange_ptr kept;
+    auto server = std::make_unique<http_server>(
+        loop, http_server_limits{},
+        [&](exchange_ptr e) { kept = std::move(e); });
+    http_client client(loop, server->listen(any_port));
+    noted_call call;
+    call.start(client, {"GET", "/x"});
+    run_until(loop, [&] { return kept != nullptr; });
+    server.reset();
+    EXPECT_EQ(kept->path(), "/x");
+    kept->reply(200, no_headers, "");
+    run_until(loop, [&] { return call.ended(); });
+    EXPECT_TRUE(call.failure);
+}
+
+struct refusal
+{
+    const char* name;
+    std::string request;
+    int status;
+};
+
+std::string get_with_header(std::size_t bytes)
+{
+    return "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(bytes, 'a') +
+           "\r\n\r\n";
+}
+
+std::string post_with_length(const char* length)
+{
+    return std::string("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: ") +
+           length + "\r\n\r\n";
+}
+
+TEST(Http, BadRequestsGetAProblemAndDisturbNobody)
+{
+    event_loop loop;
+    int handled = 0;
+    http_server server(loop, {}, [&](exchange_ptr e) {
+        ++handled;
+        echo(std::move(e));
+    });
+    auto where = server.listen(any_port);
+    const refusal cases[] = {
+        {"header", get_with_header(20'000), 431},
+        {"huge header", get_with_header(100'000), 400},
+        {"body", post_with_length("99999999"), 413},
+        {"length", post_with_length("-5"), 400},
+        {"method", "BREW / HTTP/1.1\r\nHost: x\r\n\r\n", 501},
+        {"garbage", "\x01\x02\x03\r\n\r\n", 400},
+    };
+    for (const auto& bad : cases) {
+        auto caller = connect_raw(loop, where);
+        caller->send(bad.request);
+        run_until(loop, [&] { return caller->closed; });
+        auto status = "HTTP/1.1 " + std::to_string(bad.status) + " ";
+        EXPECT_TRUE(caller->received.starts_with(status))
+            << bad.name << ": " << caller->received.substr(0, 100);
+        auto body = caller->received.find("\r\n\r\n");
+        ASSERT_NE(body, std::string::npos) << bad.name;
+        auto problem = nlohmann::json::parse(caller->received.substr(body + 4));
+        EXPECT_EQ(problem["status"], bad.status) << bad.name;
+        EXPECT_EQ(problem["ran"], "no") << bad.name;
+    }
+    EXPECT_EQ(handled, 0);
+    http_client client(loop, where);
+    noted_call call;
+    call.start(client, {});
+    run_until(loop, [&] { return call.ended(); });
+    EXPECT_TRUE(call.done);
+}
+
+TEST(Http, ConnectionsOverTheLimitAreRefused)
+{
+    http_server_limits limits;
+    limits.max_connections = 2;
+    served s([&](exchange_ptr e) { s.held.push_back(std::move(e)); }, limits);
+    noted_call first, second;
+    first.start(s.client, {});
+    second.start(s.client, {});
+    run_until(s.loop, [&] { return s.held.size() == 2; });
+    auto third = s.call({});
+    EXPECT_EQ(third.status, 503);
+    EXPECT_TRUE(find_header(third.headers, "Retry-After"));
+}
+
+TEST(Http, IdleCallersAreClosedButLongAnswersAreNot)
+{
+    http_server_limits limits;
+    limits.idle_timeout = 100ms;
+    event_loop loop;
+    exchange_ptr held;
+    http_server server(loop, limits,
+                       [&](exchange_ptr e) { held = std::move(e); });
+    auto where = server.listen(any_port);
+    auto idle = connect_raw(loop, where);
+    http_client client(loop, where);
+    noted_call call;
+    call.start(client, {});
+    run_until(loop, [&] { return held && idle->closed; });
+    run_for(loop, 3 * limits.idle_timeout);
+    EXPECT_FALSE(call.ended());
+    held->reply(200, no_headers, "late");
+    run_until(loop, [&] { return call.ended(); });
+    EXPECT_EQ(call.body, "late");
+}
+
+// Whatever bytes come, the server answers or closes, and then serves others.
+RC_GTEST_PROP(HttpFuzz, ServerSurvivesAnyBytes, ())
+{
+    static event_loop loop;
+    static http_server server(loop, {}, echo);
+    static const address where = server.listen(any_port);
+    const std::vector<std::string> parts{"GET ",
+                                         "/",
+                                         " HTTP/1.1",
+                                         "\r\n",
+                                         "\r\n\r\n",
+                                         "Host: x",
+                                         "Content-Length: ",
+                                         "7",
+                                         "Transfer-Encoding: chunked",
+                                         "ffffffffffffffff",
+                                         "-1",
+                                         "POST "};
+    auto caller = connect_raw(loop, where);
+    auto count = *rc::gen::inRange(0, 20);
+    for (int i = 0; i < count; ++i) {
+        if (*rc::gen::inRange(0, 4) == 0)
+            caller->send(*rc::gen::arbitrary<std::string>());
+        else
+            caller->send(*rc::gen::elementOf(parts));
+    }
+    caller->send("\r\n\r\n");
+    http_client client(loop, where);
+    noted_call call;
+    call.start(client, {"POST", "/ok", no_headers, "body"});
+    run_until(loop, [&] { return call.ended(); });
+    RC_ASSERT(call.done);
+    RC_ASSERT(call.body == "body");
+}
+
+} // namespace
--- a/test/mesh.cpp
+++ b/test/mesh.cpp
@@ -1,43 +1,16 @@
-#include "vanillapost/io.hpp"
+#include "io_support.hpp"
 
 #include <algorithm>
-#include <gtest/gtest.h>
 #include <optional>
 
 namespace {
 
 using namespace vanillapost;
 using namespace vanillapost::io;
+using namespace vanillapost::io::test;
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-constexpr duration generous = 20s;
-
-/// Runs the loop until `done`, or fails after a generous time.
-void run_until(event_loop& loop, const std::function<bool()>& done)
-{
-    bool late = false;
-    timer limit(loop, [&] {
-        late = true;
-        loop.stop();
-    });
-    limit.start_once(generous);
-    timer poll(loop, [&] {
-        if (done())
-            loop.stop();
-    });
-    poll.start_every(1ms);
-    loop.run();
-    ASSERT_FALSE(late) << "the awaited event did not come";
-}
-
-void run_for(event_loop& loop, duration time)
-{
-    timer end(loop, [&] { loop.stop(); });
-    end.start_once(time);
-    loop.run();
-}
-
 mesh_limits quick_limits()
 {
     mesh_limits limits;
