Count repeated failures in the burn report; spread measured targets evenly

Cause: one entry that does not answer filled the page's list with one line a reading; labels of the alarm thresholds ran into each other. The measurement put a fifth of all targets into the first entry's data centre, not an eighth. Ruled out: dropping all but the last failure; it hides a second entry. Change: each failure is listed once with its count; the page says that a short time observed makes an alarm provisional; targets are spread over all centres. Conclusion: page looked at with charts rendered one by one, not in a browser.

--- a/apps/burn/burn_report.cpp
+++ b/apps/burn/burn_report.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::size_t max_failures = 20;
+/// Different ones that are kept; more are dropped.
+constexpr std::size_t max_failures = 100;
 constexpr std::size_t max_history = 2000;
 
 double to_seconds(duration value)
@@ -99,9 +100,11 @@
 
 void burn_collector::note_failure(const std::string& what)
 {
-    if (failures_.size() == max_failures)
-        failures_.erase(failures_.begin());
-    failures_.push_back(what);
+    const auto found = failures_.find(what);
+    if (found != failures_.end())
+        ++found->second;
+    else if (failures_.size() < max_failures)
+        failures_.emplace(what, 1);
 }
 
 void burn_collector::end_round(time_point at)
--- a/apps/burn/burn_report.hpp
+++ b/apps/burn/burn_report.hpp
@@ -41,7 +41,7 @@
     std::string written_at; ///< wall-clock time, for the reader
     duration observed{};    ///< from the first scrape to the last
     std::size_t entries = 0;
-    std::vector<std::string> failures; ///< scrapes that failed, newest last
+    std::map<std::string, int> failures; ///< failed scrapes, how often each
     std::vector<service_burn> services;
 };
 
@@ -83,7 +83,7 @@
     std::map<service_id, followed> services_;
     std::set<std::string> entries_;
     std::set<std::pair<std::string, service_id>> seen_;
-    std::vector<std::string> failures_;
+    std::map<std::string, int> failures_;
     std::optional<time_point> first_;
 };
 
--- a/apps/burn/chart.cpp
+++ b/apps/burn/chart.cpp
@@ -37,14 +37,15 @@
     return rate > 1 ? "over" : "none";
 }
 
+/// \param side  "before" or "after": where the label stands
 void draw_threshold(std::ostream& out, double rate, double height,
-                    std::string_view label)
+                    std::string_view label, std::string_view side)
 {
     const double x = rate_x(rate);
     out << "<line class=\"threshold\" x1=\"" << x << "\" x2=\"" << x
         << "\" y1=\"14\" y2=\"" << height << "\"/>"
-        << "<text class=\"scale\" x=\"" << x << "\" y=\"10\">" << label
-        << "</text>";
+        << "<text class=\"scale " << side << "\" x=\"" << x << "\" y=\"10\">"
+        << label << "</text>";
 }
 
 std::string number_text(double value)
@@ -122,9 +123,9 @@
     const double height =
         top + bar_step * static_cast<double>(service.windows.size());
     open_svg(out, height, "burn rate over each window");
-    draw_threshold(out, 1, height, "1");
-    draw_threshold(out, burn_rules[1].rate, height, "ticket");
-    draw_threshold(out, burn_rules[0].rate, height, "page");
+    draw_threshold(out, 1, height, "1", "after");
+    draw_threshold(out, burn_rules[1].rate, height, "ticket", "before");
+    draw_threshold(out, burn_rules[0].rate, height, "page", "after");
     double y = top;
     for (const auto& window : service.windows) {
         draw_bar(out, window, service.objective, y);
--- a/apps/burn/html_page.cpp
+++ b/apps/burn/html_page.cpp
@@ -23,6 +23,7 @@
 figure{margin:0}figcaption{color:#5a6672;font-size:.85em}
 svg text{font:12px system-ui,sans-serif;fill:#1d2329}
 svg .scale{fill:#5a6672;font-size:10px}
+svg .before{text-anchor:end}
 .threshold{stroke:#9aa5af;stroke-dasharray:3 3}
 .allowed{stroke:#c77700;stroke-dasharray:4 3}
 .line{fill:none;stroke:#1f6fb2;stroke-width:1.5}
@@ -126,8 +127,8 @@
     if (report.failures.empty())
         return;
     out << "<section><h2>Entries that did not answer</h2><ul>\n";
-    for (const auto& each : report.failures)
-        out << "<li>" << escape_html(each) << "</li>\n";
+    for (const auto& [what, times] : report.failures)
+        out << "<li>" << escape_html(what) << " (" << times << "\u00d7)</li>\n";
     out << "</ul></section>\n";
 }
 
@@ -166,7 +167,9 @@
         << "<p class=\"note\">" << escape_html(report.written_at) << "; "
         << format("%.0f s",
                   std::chrono::duration<double>(report.observed).count())
-        << " observed at " << report.entries << " entries</p>\n";
+        << " observed at " << report.entries
+        << " entries. A window longer than that shows the time observed; an "
+           "alarm from a short time is a first sign only.</p>\n";
     write_summary(out, report);
     for (const auto& service : report.services)
         write_service(out, service);
--- a/apps/burn/main.cpp
+++ b/apps/burn/main.cpp
@@ -186,8 +186,8 @@
                   << each.budget_left * 100 << "%, alarm "
                   << name_of(each.severity) << "\n";
     }
-    for (const auto& each : report.failures)
-        std::cerr << each << "\n";
+    for (const auto& [what, times] : report.failures)
+        std::cerr << what << " (" << times << " times)\n";
 }
 
 } // namespace
--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -37,6 +37,15 @@
     return services
 
 
+class SpreadCluster(Cluster):
+    """Targets spread evenly over the data centres, over all services."""
+
+    def _make_targets(self):
+        super()._make_targets()
+        for number, target in enumerate(self.targets.values()):
+            target["data_centre"] = self.centres[number % len(self.centres)]
+
+
 def processor_seconds(pid):
     fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
@@ -114,8 +123,8 @@
 
 
 def slope_run(targets, entries, settle, seconds):
-    with Cluster(make_services(targets), entries=entries,
-                 centres=CENTRES_AT_FULL_SIZE) as cluster:
+    with SpreadCluster(make_services(targets), entries=entries,
+                       centres=CENTRES_AT_FULL_SIZE) as cluster:
         time.sleep(settle)
         return {"run": "slope", "targets": targets, "entries": entries,
                 **measure(cluster, seconds)}
