Tell peers of free slots with every forwarded answer

Cause: at 70% of capacity lookups waited at one entry while peers had free slots. A peer's free slots were known from status messages about once a second, and a forward that had come back still counted against them. Ruled out: queueing at the peer (binds a request before a slot is free); a message for each freed slot (bytes grow with the load).

--- a/apps/entry/call_engine.cpp
+++ b/apps/entry/call_engine.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <charconv>
 #include <utility>
 
 namespace vanillapost::entry {
@@ -415,8 +416,8 @@
     auto* from = request ? find(*request, attempt_number) : nullptr;
     if (!from)
         return;
-    const auto ended =
-        end_attempt(*request, attempt_number, judge_answer(*from));
+    auto ended = end_attempt(*request, attempt_number, judge_answer(*from));
+    add_free_slots(*request, ended);
     if (ended.not_placed)
         on_not_placed(*request, ended);
     else if (ended.not_run)
@@ -466,9 +467,11 @@
 
 void call_engine::on_whole_answer(call& request, const attempt& from)
 {
-    if (const auto* peer = std::get_if<peer_place>(&from.where))
+    if (const auto* peer = std::get_if<peer_place>(&from.where)) {
         parts_.peers.on_result(peer->peer, request.service,
                                forward_result::placed);
+        take_free_slots(request, from);
+    }
     const auto now = parts_.loop.now();
     if (from.status < 500) {
         auto& state = state_of(request.service);
@@ -490,6 +493,28 @@
     finish(request);
 }
 
+void call_engine::take_free_slots(const call& request, const attempt& from)
+{
+    const auto text = io::find_header(from.headers, "Free-Slots");
+    int free = 0;
+    if (!text ||
+        std::from_chars(text->data(), text->data() + text->size(), free).ec !=
+            std::errc())
+        return;
+    parts_.peers.on_free_slots(std::get<peer_place>(from.where).peer,
+                               request.service, free);
+}
+
+/// Tells the entry that forwarded the request what else it could send.
+void call_engine::add_free_slots(const call& request, attempt& from)
+{
+    if (request.forwarded_by.empty())
+        return;
+    const int waiting = static_cast<int>(queue_.waiting(request.service));
+    const int free = parts_.targets.free_slots(request.service) - waiting;
+    from.headers.push_back({"Free-Slots", std::to_string(std::max(0, free))});
+}
+
 void call_engine::store_outcome(call& request, const attempt& from)
 {
     stored_outcome outcome{.status = from.status, .headers = {}, .body = {}};
--- a/apps/entry/call_engine.hpp
+++ b/apps/entry/call_engine.hpp
@@ -102,6 +102,8 @@
 
     void refuse(call& request, const problem& why);
     void refuse_queued(const refused_request& refused);
+    void take_free_slots(const call& request, const attempt& from);
+    void add_free_slots(const call& request, attempt& from);
     void store_outcome(call& request, const attempt& from);
     void count(const call& request, request_result result);
     void finish(call& request);
--- a/apps/entry/peer_controller.cpp
+++ b/apps/entry/peer_controller.cpp
@@ -160,6 +160,12 @@
     picker_.on_result(peer, service, result, loop_.now());
 }
 
+void peer_controller::on_free_slots(const entry_id& peer,
+                                    const service_id& service, int free)
+{
+    picker_.on_free_slots(peer, service, free, loop_.now());
+}
+
 io::http_client* peer_controller::client(const entry_id& peer)
 {
     const auto* listed = members_.find(peer);
--- a/apps/entry/peer_controller.hpp
+++ b/apps/entry/peer_controller.hpp
@@ -64,6 +64,9 @@
     void on_result(const entry_id& peer, const service_id& service,
                    forward_result result);
 
+    void on_free_slots(const entry_id& peer, const service_id& service,
+                       int free);
+
     /// The HTTP client towards a peer; null when its address is not known.
     io::http_client* client(const entry_id& peer);
 
--- a/apps/entry/target_controller.cpp
+++ b/apps/entry/target_controller.cpp
@@ -301,17 +301,25 @@
     return *target.client;
 }
 
+int target_controller::free_slots(const service_id& service)
+{
+    const auto list = usable_.find(service);
+    if (list == usable_.end())
+        return 0;
+    const auto now = loop_.now();
+    int free = 0;
+    for (auto* target : list->second)
+        free += takes_all()
+                    ? target->slots
+                    : target->limiter->free(now, share_of(*target, now));
+    return free;
+}
+
 std::map<service_id, int> target_controller::free_slots()
 {
     std::map<service_id, int> result;
-    const auto now = loop_.now();
-    for (auto& [service, list] : usable_) {
-        int& free = result[service];
-        for (auto* target : list)
-            free += takes_all()
-                        ? target->slots
-                        : target->limiter->free(now, share_of(*target, now));
-    }
+    for (const auto& [service, list] : usable_)
+        result[service] = free_slots(service);
     return result;
 }
 
@@ -405,15 +413,7 @@
 
 bool target_controller::has_free_slot(const service_id& service)
 {
-    const auto list = usable_.find(service);
-    if (list == usable_.end())
-        return false;
-    const auto now = loop_.now();
-    return std::any_of(
-        list->second.begin(), list->second.end(), [&](placed_target* target) {
-            return takes_all() ||
-                   target->limiter->free(now, share_of(*target, now)) > 0;
-        });
+    return free_slots(service) > 0;
 }
 
 bool target_controller::alone(const target_id& target) const
--- a/apps/entry/target_controller.hpp
+++ b/apps/entry/target_controller.hpp
@@ -76,6 +76,8 @@
     /// Free slots of each service that has targets here.
     std::map<service_id, int> free_slots();
 
+    int free_slots(const service_id& service);
+
     /// Whether a target of the service has a free slot here.
     bool has_free_slot(const service_id& service);
 
--- a/include/vanillapost/src/routing/peer_picker.hpp
+++ b/include/vanillapost/src/routing/peer_picker.hpp
@@ -17,6 +17,8 @@
     data_centre_id own_data_centre;
     /// Age at which a report of free slots is worth half.
     duration half_life = std::chrono::milliseconds(500);
+    /// Age of a status message after which nothing is guessed from it.
+    duration status_life = std::chrono::seconds(3);
     /// Forwards sent this long before a report may be missing from it.
     duration report_lag = std::chrono::milliseconds(5);
     /// How long a peer that said it is full is passed over.
@@ -46,6 +48,10 @@
                    bool leaving, const std::map<service_id, int>& free,
                    time_point now);
 
+    /// A peer said, with an answer, how many slots of a service it has free.
+    void on_free_slots(const entry_id& peer, const service_id& service,
+                       int free, time_point now);
+
     /// A request was forwarded.
     void on_forward(const entry_id& peer, const service_id& service,
                     time_point now);
@@ -69,19 +75,24 @@
 private:
     struct service_view
     {
+        bool holds = false; ///< the last status named the service
         int free = 0;
-        std::vector<time_point> sent; ///< forwards that no report covers
+        time_point reported_at{};
+        std::vector<time_point> sent; ///< open forwards after the report
         time_point passed_over_until{};
     };
     struct peer_view
     {
         data_centre_id data_centre;
         bool leaving = false;
-        time_point reported_at{};
+        time_point status_at{};
         time_point passed_over_until{};
         std::map<service_id, service_view> services;
     };
 
+    void take_report(service_view& state, int free, time_point now);
+    double told_free(const service_view& state, time_point now) const;
+
     peer_picker_settings settings_;
     std::map<entry_id, peer_view> peers_;
 };
