--- a/test/admission.cpp
+++ b/test/admission.cpp
@@ -127,6 +127,8 @@
             if (other.kind == taken->kind)
                 RC_ASSERT(taken->deadline <= other.deadline);
         }
+        if (next_ % 3 == 0)
+            return queue_.put_back(*taken);
         leave(taken->id);
         ++running_[static_cast<std::size_t>(taken->kind)];
         queue_.on_start(taken->service);
--- a/test/routing.cpp
+++ b/test/routing.cpp
@@ -107,6 +107,8 @@
     picker.on_answer(bad, start, 1ms, answer_quality::failed);
     picker.on_answer(bad, start, 1ms, answer_quality::failed);
     EXPECT_TRUE(picker.avoided(bad, start + 199ms));
+    EXPECT_EQ(picker.next_change(start), start + 200ms);
+    EXPECT_FALSE(picker.next_change(start + 200ms));
     const time_point later = start + 200ms;
     for (int i = 0; i < 3; ++i) {
         EXPECT_EQ(picker.pick(candidates, later, random), bad);
