--- a/include/vanillapost/src/io/detail/client_connection.hpp
+++ b/include/vanillapost/src/io/detail/client_connection.hpp
@@ -56,7 +56,6 @@
     static void handle_error(evhttp_request_error error, void* self);
     static void handle_close(evhttp_connection* connection, void* self);
     static void handle_connect(bufferevent* stream, short what, void* self);
-    static void handle_pause(evutil_socket_t, short, void* self);
 
     void open();
     void watch_connect();
@@ -74,8 +73,6 @@
     on_idle idle_;
     std::unique_ptr<evhttp_connection, decltype(&evhttp_connection_free)>
         handle_{nullptr, &evhttp_connection_free};
-    std::unique_ptr<event, decltype(&event_free)> pause_event_{nullptr,
-                                                               &event_free};
     bufferevent* stream_ = nullptr; ///< owned by `handle_`
     timer timer_;
     call_handlers handlers_;
--- a/src/io/client_connection.cpp
+++ b/src/io/client_connection.cpp
@@ -60,7 +60,6 @@
     evhttp_connection_set_max_headers_size(
         handle_.get(), static_cast<ev_ssize_t>(limits_.max_header_bytes));
     evhttp_connection_set_closecb(handle_.get(), &handle_close, this);
-    pause_event_.reset(event_new(loop_.base(), -1, 0, &handle_pause, this));
 }
 
 void client_connection::send(const http_request& request,
@@ -184,13 +183,6 @@
     return !closed_ && !is_closed_by_peer(bufferevent_getfd(stream_));
 }
 
-void client_connection::handle_pause(evutil_socket_t, short, void* self)
-{
-    auto& connection = connection_of(self);
-    if (connection.paused_)
-        bufferevent_disable(connection.stream_, EV_READ);
-}
-
 int client_connection::handle_headers(evhttp_request* request, void* self)
 {
     connection_of(self).deliver_headers(request);
@@ -213,11 +205,7 @@
 
 void client_connection::handle_data(evhttp_request* request, void* self)
 {
-    auto& connection = connection_of(self);
-    connection.deliver_data(request);
-    // evhttp turns reading on again after this returns.
-    if (connection.paused_)
-        event_active(connection.pause_event_.get(), EV_TIMEOUT, 0);
+    connection_of(self).deliver_data(request);
 }
 
 void client_connection::deliver_data(evhttp_request* request)
