Use slow targets when the wait is longer, and name callers what helps them

Cause: the library can tell when a target that is avoided as slow is still the sooner place, and when an entry's held slots are of little use; the entry did not ask. Change: dispatch tries free targets, then peers, then slow targets by the expected wait; requests that found no place go back into the queue unjudged; held slots that are told to peers leave out avoided targets.

--- a/apps/entry/call_engine.cpp
+++ b/apps/entry/call_engine.cpp
@@ -220,12 +220,18 @@
     request.claim->start();
 }
 
+bool call_engine::dispatch(call& request, std::string_view kind)
+{
+    return dispatcher_.dispatch(request, kind,
+                                queue_.expected_wait(request.service));
+}
+
 void call_engine::place_or_queue(call& request)
 {
     // Those that wait come first.
     const bool others_wait = queue_.waiting(request.service) > 0;
     const auto kind = request.facts.attempts == 0 ? "first" : "retry";
-    if (!others_wait && dispatcher_.dispatch(request, kind)) {
+    if (!others_wait && dispatch(request, kind)) {
         queue_.on_start(request.service);
         arm_hedge(request);
     } else if (!request.forwarded_by.empty()) {
@@ -284,8 +290,9 @@
             request->queued = false;
             request->full_peers = 0;
             request->tried_peers.clear();
-            if (!dispatcher_.dispatch(*request, "first")) {
-                enqueue(*request);
+            if (!dispatch(*request, "first")) {
+                queue_.put_back(*next);
+                request->queued = true;
                 break;
             }
             queue_.on_start(service);
@@ -318,7 +325,7 @@
     if (!state.hedging.try_hedge(request->facts, parts_.loop.now(),
                                  state.budget))
         return;
-    if (dispatcher_.dispatch(*request, "hedge"))
+    if (dispatch(*request, "hedge"))
         queue_.on_start(request->service);
     else
         state.budget.refund();
@@ -341,7 +348,7 @@
         return;
     }
     // The rest of an answer goes ahead of those that have had nothing yet.
-    if (dispatcher_.dispatch(*request, "retry"))
+    if (dispatch(*request, "retry"))
         queue_.on_start(request->service);
     else
         break_off(*request);
--- a/apps/entry/call_engine.hpp
+++ b/apps/entry/call_engine.hpp
@@ -74,6 +74,7 @@
 
     void start(call& request);
     void start_claim(call& request);
+    bool dispatch(call& request, std::string_view kind);
     void place_or_queue(call& request);
     void enqueue(call& request);
     void arm_hedge(call& request);
--- a/apps/entry/dispatcher.cpp
+++ b/apps/entry/dispatcher.cpp
@@ -41,25 +41,26 @@
 {
 }
 
-bool dispatcher::dispatch(call& request, std::string_view kind)
+bool dispatcher::dispatch(call& request, std::string_view kind, duration wait)
 {
+    auto place = find_place(request, wait);
+    if (!place)
+        return false;
     attempt made;
     made.number = ++request.last_attempt;
     made.started = loop_.now();
     made.hedge = kind == "hedge";
-    if (auto target = place_on_target(request)) {
+    made.deadline = request.facts.deadline;
+    if (const auto* target = std::get_if<target_place>(&*place)) {
         made.deadline = target->ticket.deadline;
         request.tried_targets.push_back(target->target);
-        made.where = std::move(*target);
-    } else if (auto peer = place_on_peer(request)) {
-        made.deadline = request.facts.deadline;
-        request.tried_peers.push_back(*peer);
-        peers_.on_forward(*peer, request.service);
-        made.where = peer_place{std::move(*peer)};
-        kind = "forward";
     } else {
-        return false;
+        const auto& peer = std::get<peer_place>(*place).peer;
+        request.tried_peers.push_back(peer);
+        peers_.on_forward(peer, request.service);
+        kind = "forward";
     }
+    made.where = std::move(*place);
     metrics_.count_attempt(request.service, kind);
     request.dispatched = true;
     ++request.facts.attempts;
@@ -68,6 +69,20 @@
     return true;
 }
 
+std::optional<call_place> dispatcher::find_place(const call& request,
+                                                 duration wait)
+{
+    if (auto target = place_on_target(request))
+        return call_place(std::move(*target));
+    if (auto peer = place_on_peer(request))
+        return call_place(peer_place{std::move(*peer)});
+    if (auto target =
+            targets_.place_on_slow(request.service, request.facts.deadline,
+                                   request.tried_targets, wait))
+        return call_place(std::move(*target));
+    return std::nullopt;
+}
+
 std::optional<target_place> dispatcher::place_on_target(const call& request)
 {
     const auto deadline = request.facts.deadline;
--- a/apps/entry/dispatcher.hpp
+++ b/apps/entry/dispatcher.hpp
@@ -39,7 +39,8 @@
     /// Sends the call if there is a place for it.
     ///
     /// \param kind  "first", "retry" or "hedge", for the metrics
-    bool dispatch(call& request, std::string_view kind);
+    /// \param wait  how long it would have to wait for a place otherwise
+    bool dispatch(call& request, std::string_view kind, duration wait);
 
     /// Whether a call of the service would find a place now.
     bool has_place(const service_id& service);
@@ -52,6 +53,7 @@
     void cancel(call& request, std::uint64_t number);
 
 private:
+    std::optional<call_place> find_place(const call& request, duration wait);
     std::optional<target_place> place_on_target(const call& request);
     std::optional<entry_id> place_on_peer(const call& request);
     void send(call& request, attempt& sent);
--- a/apps/entry/target_controller.cpp
+++ b/apps/entry/target_controller.cpp
@@ -230,22 +230,30 @@
     return place;
 }
 
-std::optional<target_place>
-target_controller::place(const service_id& service, time_point deadline,
-                         std::span<const target_id> tried)
+target_controller::option_list
+target_controller::options_for(const service_id& service,
+                               std::span<const target_id> tried)
 {
+    option_list result;
     const auto list = usable_.find(service);
     if (list == usable_.end())
-        return std::nullopt;
+        return result;
     const auto now = loop_.now();
-    std::vector<placement_option> options;
-    std::vector<placed_target*> targets;
     for (auto* target : list->second) {
         if (contains(tried, target->record.name))
             continue;
-        options.push_back(option_for(*target, now));
-        targets.push_back(target);
+        result.options.push_back(option_for(*target, now));
+        result.targets.push_back(target);
     }
+    return result;
+}
+
+std::optional<target_place>
+target_controller::place(const service_id& service, time_point deadline,
+                         std::span<const target_id> tried)
+{
+    auto [options, targets] = options_for(service, tried);
+    const auto now = loop_.now();
     auto& chosen_by = policy(service);
     while (const auto position =
                vanillapost::place(chosen_by, options, now, random_)) {
@@ -261,6 +269,27 @@
     return std::nullopt;
 }
 
+std::optional<target_place>
+target_controller::place_on_slow(const service_id& service, time_point deadline,
+                                 std::span<const target_id> tried,
+                                 duration wait)
+{
+    auto* picker = picker_of(policy(service));
+    if (!picker || wait <= duration(0))
+        return std::nullopt;
+    std::vector<target_candidate> candidates;
+    for (const auto& option : options_for(service, tried).options)
+        candidates.push_back(option.own);
+    const auto now = loop_.now();
+    const auto chosen = picker->pick_slow(candidates, wait, now, random_);
+    if (!chosen)
+        return std::nullopt;
+    auto place = acquire(targets_.at(*chosen), deadline, now);
+    if (place)
+        picker->on_dispatch(*chosen);
+    return place;
+}
+
 void target_controller::finish(const target_place& place, target_answer answer)
 {
     const auto found = targets_.find(place.target);
@@ -328,13 +357,24 @@
     std::map<service_id, int> result;
     for (const auto& [service, list] : usable_) {
         for (const auto* target : list) {
-            if (records_.takes_work(target->record))
+            if (records_.takes_work(target->record) &&
+                !avoided(service, target->record.name))
                 result[service] += target->slots;
         }
     }
     return result;
 }
 
+bool target_controller::avoided(const service_id& service,
+                                const target_id& target) const
+{
+    const auto found = policies_.find(service);
+    if (found == policies_.end())
+        return false;
+    const auto* held = std::get_if<held_placement>(&found->second);
+    return held && held->picker.avoided(target, loop_.now());
+}
+
 std::vector<target_id> target_controller::cold_targets() const
 {
     std::vector<target_id> result;
--- a/apps/entry/target_controller.hpp
+++ b/apps/entry/target_controller.hpp
@@ -68,6 +68,13 @@
                                       time_point deadline,
                                       std::span<const target_id> tried);
 
+    /// Same, among targets that are avoided for being slow, if they would
+    /// answer sooner than after waiting for `wait`.
+    std::optional<target_place> place_on_slow(const service_id& service,
+                                              time_point deadline,
+                                              std::span<const target_id> tried,
+                                              duration wait);
+
     /// Ends what `place` began.
     void finish(const target_place& place, target_answer answer);
 
@@ -81,7 +88,8 @@
     /// Whether a target of the service has a free slot here.
     bool has_free_slot(const service_id& service);
 
-    /// Slots of each service that are held here.
+    /// Slots of each service that are held here, without those of targets that
+    /// are avoided.
     std::map<service_id, int> held_slots() const;
 
     /// Held targets that are not proven warm.
@@ -118,6 +126,12 @@
 
     using target_list = std::vector<placed_target*>;
 
+    struct option_list
+    {
+        std::vector<placement_option> options;
+        target_list targets; ///< in the same order
+    };
+
     slot_share share_of(const placed_target& target, time_point now) const;
     void take_record(const target_record& record, int slots);
     void drop_missing();
@@ -128,6 +142,9 @@
     void report_in_flight(placed_target& target, time_point now);
     bool takes_all() const;
     placement_policy& policy(const service_id& service);
+    bool avoided(const service_id& service, const target_id& target) const;
+    option_list options_for(const service_id& service,
+                            std::span<const target_id> tried);
     placement_option option_for(placed_target& target, time_point now);
     std::optional<target_place> acquire(placed_target& target,
                                         time_point deadline, time_point now);
