--- a/demo.sh
+++ b/demo.sh
@@ -6,6 +6,7 @@
 
 sample=trockenstiefel
 phase_s=15
+warm_up_s=10
 while [ $# -gt 0 ]; do
     case $1 in
     --sample) sample=$2; shift 2 ;;
@@ -65,7 +66,8 @@
 $bin/vanillapost-platform-standin --listen "$platform" > "$out/platform.log" &
 pids+=($!)
 wait_for "$platform" /v1/instances
-$bin/vanillapost-records --platform "$platform" apply "$dir/records"
+$bin/vanillapost-records --platform "$platform" apply "$dir/records" \
+    > "$out/records.log"
 $bin/vanillapost-target-standin --records "$dir"/records/*.json \
     > "$out/targets.log" &
 pids+=($!)
@@ -78,28 +80,32 @@
 for address in "${entries[@]}"; do
     wait_for "$address" /readyz
 done
-echo "six entries serve $sample; data centre $centre goes out after" \
-    "$phase_s s and comes back after $((2 * phase_s)) s"
+echo "six entries serve $sample; after $warm_up_s s at a third of the load," \
+    "$phase_s s each with $centre in, out and back"
 
 $bin/vanillapost-burn "${entries[@]}" --platform "$platform" \
-    --duration $((3 * phase_s)) --interval 1 --html "$out/burn.html" \
+    --duration $((warm_up_s + 3 * phase_s)) --interval 1 --html "$out/burn.html" \
     --json "$out/burn.json" > "$out/burn.log" 2>&1 &
 burn=$!
 pids+=($burn)
 $bin/vanillapost-load --entries "${entries[@]}" --mix "$dir/mix.json" \
-    --phases "$phase_s:1,$phase_s:1,$phase_s:1" \
+    --phases "$warm_up_s:0.3,$phase_s:1,$phase_s:1,$phase_s:1" \
     --json "$out/load.json" --svg "$out/load.svg" > "$out/load.txt" &
 load=$!
 pids+=($load)
+sleep $((warm_up_s + phase_s))
+echo "taking $centre out"
+$bin/vanillapost-records --platform "$platform" take-out "$centre" \
+    >> "$out/records.log"
 sleep "$phase_s"
-$bin/vanillapost-records --platform "$platform" take-out "$centre"
-sleep "$phase_s"
-$bin/vanillapost-records --platform "$platform" bring-back "$centre"
+echo "bringing $centre back"
+$bin/vanillapost-records --platform "$platform" bring-back "$centre" \
+    >> "$out/records.log"
 wait "$load"
 wait "$burn" || true
 
 echo
-echo "phase 1: all data centres; phase 2: $centre out; phase 3: $centre back"
+echo "phase 1: warm-up; 2: all data centres; 3: $centre out; 4: $centre back"
 cat "$out/load.txt"
 echo
 echo "report on service-level burn: $out/burn.html"
