--- a/test/holds.cpp
+++ b/test/holds.cpp
@@ -218,7 +218,15 @@
     const target_id gone = targets.back().name;
     targets.pop_back();
     all.set_targets(targets);
-    all.run(10s);
+    for (int i = 0; i < 10000; ++i) {
+        all.run(1ms);
+        int in_flight = 0;
+        for (int e = 0; e < all.size(); ++e) {
+            in_flight += all.at(e).in_flight[gone];
+        }
+        const bool erased = !all.table.read(hold_key(gone)).value;
+        EXPECT_FALSE(erased && in_flight > 0);
+    }
     EXPECT_FALSE(all.table.read(hold_key(gone)).value);
     EXPECT_EQ(all.usable(gone), 0);
 }
@@ -253,6 +261,15 @@
     expect_all_full(all);
 }
 
+TEST(holds, older_row_never_returns)
+{
+    hold_table rows({{"e"}, "1"});
+    const hold_row row{.target = {"t"}, .holder = {{"e"}, "1"}};
+    EXPECT_TRUE(rows.apply({"t"}, 5, row));
+    EXPECT_FALSE(rows.apply({"t"}, 4, std::nullopt));
+    EXPECT_TRUE(rows.row({"t"}));
+}
+
 TEST(holds, rows_survive_text)
 {
     const hold_row row{.target = {"t"},
