--- a/test/holds_cluster.hpp
+++ b/test/holds_cluster.hpp
@@ -4,6 +4,8 @@
 // Several hold controllers against a table, a list, a mesh and targets that
 // are all in memory, in simulated time. The targets judge.
 
+#include "fake_table.hpp"
+#include "fault.hpp"
 #include "vanillapost/base.hpp"
 #include "vanillapost/holds.hpp"
 
@@ -20,95 +22,6 @@
 
 inline constexpr duration wait_limit = 1s; ///< of a call to the platform
 
-/// The table, with compare-and-set and write ids.
-class fake_table
-{
-public:
-    table_row read(const std::string& key) const
-    {
-        const auto found = rows_.find(key);
-        return found == rows_.end() ? table_row{key, 0, "", {}} : found->second;
-    }
-
-    table_changes changes(const std::string& prefix, revision since) const
-    {
-        table_changes result{.latest = latest_, .rows = {}};
-        for (const auto& [key, row] : rows_) {
-            if (key.starts_with(prefix) && row.at > since) {
-                result.rows.push_back(row);
-            }
-        }
-        return result;
-    }
-
-    transaction_result transact(const table_transaction& transaction)
-    {
-        if (const auto done = done_.find(transaction.write_id);
-            done != done_.end()) {
-            return transaction_done{done->second};
-        }
-        transaction_conflict conflict;
-        for (const auto& step : transaction.operations) {
-            const table_row row = read(step.key);
-            if ((row.value ? row.at : 0) != step.expected) {
-                conflict.rows.push_back(row);
-            }
-        }
-        if (!conflict.rows.empty()) {
-            return conflict;
-        }
-        ++latest_;
-        for (const auto& step : transaction.operations) {
-            write(step, transaction.write_id);
-        }
-        done_[transaction.write_id] = latest_;
-        return transaction_done{latest_};
-    }
-
-private:
-    void write(const table_operation& step, const std::string& write_id)
-    {
-        if (step.what == table_operation::action::check) {
-            return;
-        }
-        table_row& row = rows_[step.key];
-        row = {step.key, latest_, write_id, {}};
-        if (step.what == table_operation::action::put) {
-            row.value = step.value;
-        }
-    }
-
-    std::map<std::string, table_row> rows_;
-    std::map<std::string, revision> done_;
-    revision latest_ = 0;
-};
-
-/// What may go wrong, from a point of time on and for a length of time.
-struct fault
-{
-    enum class kind
-    {
-        kill,
-        restart, ///< kill, and a new incarnation after `length`
-        freeze,
-        cut_platform,
-        cut_peers,
-        cut_both,
-        outage,       ///< the platform, for all
-        lose_answers, ///< writes take effect, for all
-        delay_writes, ///< writes take effect after the caller gave up
-        freeze_list,
-        leave,
-        late_sends, ///< requests reach their target late
-        count
-    };
-
-    kind what{};
-    int entry = 0;
-    duration at{};
-    duration length{};
-};
-
 class cluster
 {
 public:
