Test that a row is only erased once its target has drained

Cause: without the rule, no test failed. Change: the withdrawal test follows the requests in flight over 20 seeds.

--- a/test/holds.cpp
+++ b/test/holds.cpp
@@ -210,25 +210,27 @@
     expect_all_full(all);
 }
 
-TEST(holds, withdrawn_target_loses_its_row)
+TEST(holds, withdrawn_target_loses_its_row_once_drained)
 {
-    cluster all(3, 3, 2, 1);
-    all.run(15s);
-    auto targets = all.targets();
-    const target_id gone = targets.back().name;
-    targets.pop_back();
-    all.set_targets(targets);
-    for (int i = 0; i < 10000; ++i) {
-        all.run(1ms);
-        int in_flight = 0;
-        for (int e = 0; e < all.size(); ++e) {
-            in_flight += all.at(e).in_flight[gone];
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        cluster all(3, 3, 2, seed);
+        all.run(15s);
+        auto targets = all.targets();
+        const target_id gone = targets.back().name;
+        targets.pop_back();
+        all.set_targets(targets);
+        for (int i = 0; i < 1000; ++i) {
+            all.run(10ms);
+            int in_flight = 0;
+            for (int e = 0; e < all.size(); ++e) {
+                in_flight += all.at(e).in_flight[gone];
+            }
+            const bool erased = !all.table.read(hold_key(gone)).value;
+            EXPECT_FALSE(erased && in_flight > 0) << "seed " << seed;
         }
-        const bool erased = !all.table.read(hold_key(gone)).value;
-        EXPECT_FALSE(erased && in_flight > 0);
+        EXPECT_FALSE(all.table.read(hold_key(gone)).value);
+        EXPECT_EQ(all.usable(gone), 0);
     }
-    EXPECT_FALSE(all.table.read(hold_key(gone)).value);
-    EXPECT_EQ(all.usable(gone), 0);
 }
 
 TEST(holds, replaced_process_stops_when_it_wakes)
