--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -29,6 +29,9 @@
 {
     event_config* config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
+    // Reading is switched off and on for each request; this joins the changes
+    // of one turn. No descriptor here is ever duplicated, which it forbids.
+    event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
     event_base* base = event_base_new_with_config(config);
     event_config_free(config);
     if (!base)
