Test many short connections over the joined epoll changes

Cause: with libevent's change list a descriptor that is closed and taken again within one turn is the case to fear. Ruled out: bounding connections that never send a request by holding a reference to each bufferevent: evhttp closes the socket without taking it out of the bufferevent, so that a later shutdown could hit another connection.

--- a/test/http.cpp
+++ b/test/http.cpp
@@ -422,6 +422,42 @@
     EXPECT_EQ(call.body, "late");
 }
 
+// Descriptors are closed and taken again within one turn of the loop.
+TEST(Http, ManyShortConnectionsAllGetTheirAnswers)
+{
+    constexpr std::size_t in_flight = 16;
+    constexpr std::size_t total = 3000;
+    http_client_limits limits;
+    limits.max_idle_connections = 0;
+    served s(echo, {}, limits);
+    std::vector<std::unique_ptr<http_call>> calls(in_flight);
+    std::vector<std::string> bodies(in_flight);
+    std::size_t started = 0, whole = 0, failed = 0;
+    std::function<void(std::size_t)> start = [&](std::size_t slot) {
+        if (started == total)
+            return;
+        auto id = std::to_string(started++);
+        bodies[slot].clear();
+        auto* got = &bodies[slot];
+        call_handlers handlers;
+        handlers.on_data = [got](std::string_view data) { *got += data; };
+        handlers.on_done = [&, slot, id, got] {
+            whole += *got == id;
+            start(slot);
+        };
+        handlers.on_failure = [&, slot](const auto&) {
+            ++failed;
+            start(slot);
+        };
+        calls[slot] = s.client.start({"POST", "/", {}, id}, std::move(handlers),
+                                     generous);
+    };
+    for (std::size_t slot = 0; slot < in_flight; ++slot)
+        start(slot);
+    run_until(s.loop, [&] { return whole + failed == total; });
+    EXPECT_EQ(whole, total);
+}
+
 // Whatever bytes come, the server answers or closes, and then serves others.
 RC_GTEST_PROP(HttpFuzz, ServerSurvivesAnyBytes, ())
 {
