Split what proves the end of a peer from the mesh

Change: the state shared by its sources in detail/mesh_state.hpp; suspects in mesh_suspects.cpp. No behaviour changes.

--- a/include/vanillapost/src/io/mesh.hpp
+++ b/include/vanillapost/src/io/mesh.hpp
@@ -54,6 +54,8 @@
 class mesh
 {
 public:
+    struct state;
+
     mesh(event_loop& loop, entry_incarnation self, mesh_limits limits,
          mesh_handlers handlers);
     ~mesh();
@@ -73,7 +75,6 @@
     std::uint64_t bytes_received() const;
 
 private:
-    struct state;
     std::unique_ptr<state> state_;
 };
 
--- a/src/io/mesh.cpp
+++ b/src/io/mesh.cpp
@@ -1,17 +1,15 @@
 #include "vanillapost/src/io/mesh.hpp"
 
 #include "vanillapost/src/base/error.hpp"
-#include "vanillapost/src/base/random.hpp"
-#include "vanillapost/src/io/detail/mesh_link.hpp"
+#include "vanillapost/src/io/detail/mesh_state.hpp"
 
 #include <algorithm>
-#include <event2/listener.h>
-#include <map>
 #include <utility>
 
 namespace vanillapost::io {
 
 using detail::connect_result;
+using detail::known_peer;
 using detail::mesh_hello;
 using detail::mesh_link;
 
@@ -19,46 +17,9 @@
 
 constexpr int listen_backlog = 128;
 constexpr std::size_t max_unnamed_links = 64;
-constexpr std::size_t max_suspects = 1024;
-/// Attempts at a peer that does not answer slow down to this many intervals.
-constexpr int max_backoff = 8;
 /// A silent connection is pinged this often within the silence timeout.
 constexpr int pings_per_timeout = 3;
 
-/// When to try a connection next; waits grow and are spread out.
-struct retry_schedule
-{
-    time_point next{};
-    int backoff = 1;
-
-    void wait(time_point now, duration interval, random_engine& random)
-    {
-        // From half to one and a half intervals.
-        auto width = static_cast<std::uint32_t>(interval.count()) + 1;
-        auto spread = duration(static_cast<std::int64_t>(random(width)));
-        next = now + backoff * (interval / 2 + spread);
-        backoff = std::min(backoff * 2, max_backoff);
-    }
-};
-
-/// A peer as the owner named it.
-struct known_peer
-{
-    address where;
-    mesh_link* up = nullptr;
-    mesh_link* opening = nullptr; ///< connected, no hello yet
-    std::unique_ptr<detail::connect_attempt> attempt;
-    retry_schedule retry;
-};
-
-/// An incarnation whose connection went down and that may have ended.
-struct suspect
-{
-    mesh_hello last;
-    std::unique_ptr<detail::connect_attempt> probe;
-    retry_schedule retry;
-};
-
 std::uint64_t seed_of(const entry_incarnation& self)
 {
     return std::hash<std::string>{}(self.name.value + self.incarnation);
@@ -72,54 +33,6 @@
 
 } // namespace
 
-struct mesh::state
-{
-    event_loop& loop;
-    entry_incarnation self;
-    mesh_limits limits;
-    mesh_handlers notify;
-    random_engine random{seed_of(self)};
-    address listening = {};
-    detail::mesh_counters counters = {};
-    std::map<entry_id, known_peer> peers = {};
-    std::map<entry_incarnation, suspect> suspects = {};
-    std::map<mesh_link*, std::unique_ptr<mesh_link>> links = {};
-    std::unique_ptr<evconnlistener, decltype(&evconnlistener_free)> listener{
-        nullptr, &evconnlistener_free};
-    timer tick{loop, [this] { run_tick(); }};
-    time_point next_ping{};
-
-    static void handle_accept(evconnlistener*, evutil_socket_t socket,
-                              sockaddr*, int, void* self);
-
-    bool connects_to(const entry_id& peer) const
-    {
-        return self.name < peer;
-    }
-
-    void accept(evutil_socket_t socket);
-    mesh_link& add_link(detail::bufferevent_ptr stream, const std::string& uri);
-    void drop(mesh_link& link);
-    void end_link(mesh_link& link);
-
-    void receive(mesh_link& link, nlohmann::json message);
-    void greet(mesh_link& link, const mesh_hello& hello);
-    bool accepts(const mesh_link& link, const mesh_hello& hello);
-    void settle_suspects(const mesh_hello& newer);
-
-    void connect(const entry_id& name, known_peer& peer);
-    void end_attempt(const entry_id& name, connect_result result,
-                     detail::bufferevent_ptr stream);
-    void add_suspect(const mesh_hello& last);
-    void probe(suspect& who);
-    void end_probe(const entry_incarnation& who, connect_result result);
-    void report_refused(const address& where);
-
-    void run_tick();
-    void check_silence(time_point now);
-    void try_peers(time_point now);
-};
-
 void mesh::state::handle_accept(evconnlistener*, evutil_socket_t socket,
                                 sockaddr*, int, void* self)
 {
@@ -235,19 +148,6 @@
         notify.on_up(hello.who);
 }
 
-// Two processes cannot listen at one address: whoever was there has ended.
-void mesh::state::settle_suspects(const mesh_hello& newer)
-{
-    std::vector<entry_incarnation> ended;
-    for (const auto& [who, item] : suspects)
-        if (item.last.where == newer.where && who != newer.who)
-            ended.push_back(who);
-    for (const auto& who : ended) {
-        suspects.erase(who);
-        notify.on_ended(who);
-    }
-}
-
 void mesh::state::connect(const entry_id& name, known_peer& peer)
 {
     peer.attempt = std::make_unique<detail::connect_attempt>(
@@ -275,47 +175,6 @@
         report_refused(address(peer.where));
 }
 
-void mesh::state::report_refused(const address& where)
-{
-    std::vector<entry_incarnation> ended;
-    for (const auto& [who, item] : suspects)
-        if (item.last.where == where)
-            ended.push_back(who);
-    for (const auto& who : ended) {
-        suspects.erase(who);
-        notify.on_ended(who);
-    }
-}
-
-void mesh::state::add_suspect(const mesh_hello& last)
-{
-    if (suspects.size() >= max_suspects)
-        suspects.erase(suspects.begin());
-    auto& added = suspects[last.who];
-    added.last = last;
-    if (!added.probe)
-        probe(added);
-}
-
-void mesh::state::probe(suspect& who)
-{
-    who.probe = std::make_unique<detail::connect_attempt>(
-        loop, who.last.where, limits.silence_timeout,
-        [this, name = who.last.who](connect_result result,
-                                    const detail::bufferevent_ptr&) {
-            end_probe(name, result);
-        });
-}
-
-void mesh::state::end_probe(const entry_incarnation& who, connect_result result)
-{
-    auto& item = suspects.at(who);
-    loop.dispose(std::move(item.probe));
-    item.retry.wait(loop.now(), limits.reconnect_interval, random);
-    if (result == connect_result::refused)
-        report_refused(address(item.last.where));
-}
-
 void mesh::state::run_tick()
 {
     auto now = loop.now();
@@ -355,7 +214,8 @@
 
 mesh::mesh(event_loop& loop, entry_incarnation self, mesh_limits limits,
            mesh_handlers handlers)
-    : state_(new state{loop, std::move(self), limits, std::move(handlers)})
+    : state_(new state{loop, self, limits, std::move(handlers),
+                       random_engine(seed_of(self))})
 {
     state_->tick.start_every(tick_of(limits));
 }
