--- a/test/process/callers.py
+++ b/test/process/callers.py
@@ -186,3 +186,12 @@
     """Every success was the whole answer to its own request."""
     wrong = [each for each in outcomes if each.kind == "wrong"]
     assert not wrong, json.dumps([vars(each) for each in wrong[:3]])
+
+
+def check_all(cluster, callers):
+    """Every guarantee that holds whatever has failed."""
+    check_answers(callers.outcomes)
+    for service in cluster.services:
+        check_refusals(cluster, service.name, callers.outcomes)
+    cluster.check_limits()
+    cluster.check_bookings()
--- a/test/process/test_targets.py
+++ b/test/process/test_targets.py
@@ -2,21 +2,13 @@
 
 import time
 
-from callers import Callers, check_answers, check_refusals
+from callers import Callers, check_all
 from cluster import Cluster, Service, wait_until
 
 BOTH = {"stock": False, "orders": True}
 STOCK = {"stock": False}
 
 
-def check_all(cluster, callers):
-    check_answers(callers.outcomes)
-    for service in cluster.services:
-        check_refusals(cluster, service.name, callers.outcomes)
-    cluster.check_limits()
-    cluster.check_bookings()
-
-
 def test_silent_cold_start_gets_little():
     service = Service("stock", "lookup", slots=4,
                       behaviour={"median_ms": 20, "sigma": 0.2,
