--- a/apps/entry/entry_server.cpp
+++ b/apps/entry/entry_server.cpp
@@ -15,6 +15,7 @@
 constexpr duration longest_settling = std::chrono::seconds(5);
 constexpr duration leave_check_interval = std::chrono::milliseconds(50);
 constexpr duration longest_leave = std::chrono::seconds(60);
+constexpr duration longest_handover = std::chrono::seconds(8);
 constexpr int cached_answer_ms = 2000;
 constexpr std::string_view call_prefix = "/v1/call/";
 
@@ -212,12 +213,11 @@
     calls_.pump();
 }
 
-own_status entry_server::status() const
+own_status entry_server::status()
 {
-    auto& targets = const_cast<target_controller&>(targets_);
     own_status result{.leaving = leaving_,
                       .records = records_.records().latest(),
-                      .free = targets.free_slots(),
+                      .free = targets_.free_slots(),
                       .held = targets_.held_slots(),
                       .medians = {},
                       .cold = targets_.cold_targets()};
@@ -367,14 +367,21 @@
         return;
     if (!std::exchange(stopped_accepting_, true))
         http_.stop_accepting();
-    const bool drained = calls_.in_flight() == 0 && http_.in_flight() == 0 &&
-                         holds_.drained_to_leave();
+    const bool answered = calls_.in_flight() == 0 && http_.in_flight() == 0;
+    const bool handed_over = holds_.drained_to_leave();
+    // Without platform or peers nothing can be handed over. Then the others
+    // take over as if this process had died, once it has.
+    const bool in_vain = answered && now >= leaving_since_ + longest_handover;
     const bool overdue = now >= leaving_since_ + longest_leave;
-    if (!drained && !overdue)
+    if (!(answered && handed_over) && !in_vain && !overdue)
         return;
-    io::log(overdue ? io::log_level::warning : io::log_level::info,
-            overdue ? "left before everything was drained" : "left",
-            {{"step", "leave"}});
+    if (answered && handed_over)
+        io::log(io::log_level::info, "left", {{"step", "leave"}});
+    else
+        io::log(io::log_level::warning,
+                answered ? "left without handing over all targets"
+                         : "left with requests in flight",
+                {{"step", "leave"}});
     loop_.stop();
 }
 
--- a/apps/entry/entry_server.hpp
+++ b/apps/entry/entry_server.hpp
@@ -53,7 +53,7 @@
     void tick();
     void leave_if_drained();
     bool settled() const;
-    own_status status() const;
+    own_status status();
     bool send(const entry_id& peer, const nlohmann::json& message);
 
     io::event_loop& loop_;
--- a/demo.sh
+++ b/demo.sh
@@ -29,7 +29,14 @@
 pids=()
 stop_all() {
     trap - EXIT
-    for pid in "${pids[@]}"; do
+    # Entries leave in order only while the platform is there.
+    for pid in "${pids[@]:2}"; do
+        kill "$pid" 2> /dev/null || true
+    done
+    for pid in "${pids[@]:2}"; do
+        wait "$pid" 2> /dev/null || true
+    done
+    for pid in "${pids[@]:0:2}"; do
         kill "$pid" 2> /dev/null || true
     done
     wait
