Test the entry's settings, its budget for status, and leaving without a platform

Cause: the wait of 60 s at the end without a platform and the unbounded status messages had been mended without a test. Ruled out: a single entry for the test of leaving: with nobody to hand over to it leaves in order, as a first version of the test showed.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -15,3 +15,9 @@
   set_tests_properties(${name} PROPERTIES
     ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=200" TIMEOUT 300)
 endforeach()
+
+# Parts of the entry that are tested by themselves.
+foreach(part status_budget entry_settings)
+  target_sources(test_${part} PRIVATE apps/entry/${part}.cpp)
+  target_include_directories(test_${part} PRIVATE apps/entry)
+endforeach()
--- a/test/process/test_entries.py
+++ b/test/process/test_entries.py
@@ -109,3 +109,13 @@
             cluster.wait_ready("e3")
             wait_all_served(cluster, cluster.targets_of("stock"))
         check_all(cluster, callers)
+
+
+def test_entry_leaves_while_platform_is_down():
+    with Cluster(entries=2) as cluster:
+        cluster.fault_platform("down")
+        leaving = cluster.entries["e1"]
+        leaving.send(signal.SIGTERM)
+        assert leaving.wait() == 0, cluster.log("e1")
+        # There is no table to hand targets over in.
+        assert "left without handing over all targets" in cluster.log("e1")
