Compare header names and read target states in one place each

Cause: three places compared header names by hand beside find_header, and the state of a target was read by two functions of the same shape. Ruled out: joining the mains of the stand-ins (few lines, other options) and check_address of two programs (a shared file for one function). Change: same_header_name beside find_header; one parse_target_state for the header and for load reports. Result: format and lint clean on the changed files; http, io_decoders and six process tests of calls, downloads, bad input and draining pass. Conclusion: behaviour unchanged.

--- a/apps/entry/answer_relay.cpp
+++ b/apps/entry/answer_relay.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <strings.h>
 
 namespace vanillapost::entry {
 
@@ -19,11 +18,10 @@
 
 bool is_hop_header(std::string_view name)
 {
-    return std::any_of(
-        hop_headers.begin(), hop_headers.end(), [&](std::string_view each) {
-            return each.size() == name.size() &&
-                   strncasecmp(each.data(), name.data(), name.size()) == 0;
-        });
+    return std::any_of(hop_headers.begin(), hop_headers.end(),
+                       [&](std::string_view each) {
+                           return io::same_header_name(each, name);
+                       });
 }
 
 std::uint64_t read_number(std::string_view text)
@@ -61,8 +59,7 @@
 {
     io::header_list result;
     for (const auto& header : from.headers) {
-        const bool length =
-            strcasecmp(header.name.c_str(), "Content-Length") == 0;
+        const bool length = io::same_header_name(header.name, "Content-Length");
         const bool set_by_server =
             length && buffered && request.request.method != "HEAD";
         if (!is_hop_header(header.name) && !set_by_server)
@@ -76,8 +73,7 @@
                 std::string value)
 {
     std::erase_if(headers, [&](const auto& each) {
-        return each.name.size() == name.size() &&
-               strncasecmp(each.name.data(), name.data(), name.size()) == 0;
+        return io::same_header_name(each.name, name);
     });
     headers.push_back({std::string(name), std::move(value)});
 }
--- a/apps/entry/attempt_judge.cpp
+++ b/apps/entry/attempt_judge.cpp
@@ -7,9 +7,8 @@
     return static_cast<ran_state>(static_cast<int>(state));
 }
 
-target_state parse_target_state(std::span<const io::header_field> headers)
+target_state parse_target_state(std::string_view text)
 {
-    const auto text = io::find_header(headers, "Target-State");
     if (text == "cold")
         return target_state::cold;
     if (text == "warm")
--- a/apps/entry/attempt_judge.hpp
+++ b/apps/entry/attempt_judge.hpp
@@ -7,7 +7,6 @@
 #include "vanillapost/admission.hpp"
 #include "vanillapost/io.hpp"
 
-#include <span>
 #include <string_view>
 
 namespace vanillapost::entry {
@@ -15,8 +14,8 @@
 /// A run state as it stands in a problem.
 ran_state ran_of(run_state state);
 
-/// Reads `Target-State`.
-target_state parse_target_state(std::span<const io::header_field> headers);
+/// Reads the state that a target names in `Target-State` or a load report.
+target_state parse_target_state(std::string_view text);
 
 /// How a failed call counts for the target that it went to.
 ///
--- a/apps/entry/call_answers.cpp
+++ b/apps/entry/call_answers.cpp
@@ -31,7 +31,8 @@
     from->status = status;
     from->headers.assign(headers.begin(), headers.end());
     from->latency = parts_.loop.now() - from->started;
-    from->state = parse_target_state(headers);
+    from->state = parse_target_state(
+        io::find_header(headers, "Target-State").value_or(""));
     const bool refused = status == status_unavailable;
     from->not_run = refused && io::find_header(headers, "Not-Run") &&
                     std::holds_alternative<target_place>(from->where);
--- a/apps/entry/probe_controller.cpp
+++ b/apps/entry/probe_controller.cpp
@@ -1,5 +1,7 @@
 #include "probe_controller.hpp"
 
+#include "attempt_judge.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace vanillapost::entry {
@@ -9,18 +11,6 @@
 constexpr duration probe_timeout = std::chrono::milliseconds(900);
 constexpr std::size_t max_report_bytes = 4096;
 
-target_state parse_state(const nlohmann::json& report)
-{
-    const auto state = report.value("state", "");
-    if (state == "cold")
-        return target_state::cold;
-    if (state == "warm")
-        return target_state::warm;
-    if (state == "draining")
-        return target_state::draining;
-    return target_state::unknown;
-}
-
 } // namespace
 
 probe_controller::probe_controller(io::event_loop& loop,
@@ -86,7 +76,7 @@
             parse_bounded_json(body, max_report_bytes, "probe", target.value);
         targets_.on_load_report(target, report.at("in_flight").get<int>(),
                                 report.at("slots").get<int>());
-        return parse_state(report);
+        return parse_target_state(report.value("state", ""));
     } catch (const std::exception& failure) {
         io::log(io::log_level::warning, failure.what(),
                 {{"step", "probe"}, {"peer", target.value}});
--- a/apps/entry/request_filters.cpp
+++ b/apps/entry/request_filters.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <strings.h>
 
 namespace vanillapost::entry {
 
@@ -26,10 +25,8 @@
 bool is_own_header(std::string_view name)
 {
     return std::any_of(
-        own_headers.begin(), own_headers.end(), [&](std::string_view own) {
-            return own.size() == name.size() &&
-                   strncasecmp(own.data(), name.data(), name.size()) == 0;
-        });
+        own_headers.begin(), own_headers.end(),
+        [&](std::string_view own) { return io::same_header_name(own, name); });
 }
 
 problem bad_request(std::string_view step, std::string detail)
--- a/include/vanillapost/src/io/http_message.hpp
+++ b/include/vanillapost/src/io/http_message.hpp
@@ -17,6 +17,9 @@
 
 using header_list = std::vector<header_field>;
 
+/// Whether two header names are the same, whatever their case.
+bool same_header_name(std::string_view one, std::string_view other);
+
 /// The value of the first header of that name, whatever its case.
 std::optional<std::string_view> find_header(std::span<const header_field> list,
                                             std::string_view name);
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -11,19 +11,19 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-bool equal_ignoring_case(std::string_view a, std::string_view b)
+} // namespace
+
+bool same_header_name(std::string_view one, std::string_view other)
 {
     return std::ranges::equal(
-        a, b, [](char x, char y) { return to_lower(x) == to_lower(y); });
+        one, other, [](char x, char y) { return to_lower(x) == to_lower(y); });
 }
 
-} // namespace
-
 std::optional<std::string_view> find_header(std::span<const header_field> list,
                                             std::string_view name)
 {
     for (const auto& field : list)
-        if (equal_ignoring_case(field.name, name))
+        if (same_header_name(field.name, name))
             return field.value;
     return std::nullopt;
 }
