--- /dev/null
+++ b/apps/router/knowledge.cpp
@@ -0,0 +1,55 @@
+#include "knowledge.hpp"
+
+namespace vanillapost::router {
+
+namespace {
+
+placement_settings make_placement(const member& self)
+{
+    placement_settings result;
+    result.self = self.name;
+    result.data_centre = self.data_centre;
+    return result;
+}
+
+} // namespace
+
+knowledge::knowledge(const member& self, random_engine random)
+    : members(self), placer(make_placement(self), random)
+{
+    placer.set_members({{self.name, self.data_centre}});
+}
+
+bool knowledge::adopt(configuration config, time_point now)
+{
+    if (config.version <= routes_.config().version)
+        return false;
+    routes_ = route_table(std::move(config));
+    parts.retain(routes_.config());
+    refresh_targets(now);
+    return true;
+}
+
+void knowledge::refresh_targets(time_point now)
+{
+    placer.update(targets, cold_rates(), now);
+}
+
+void knowledge::refresh_members(time_point now)
+{
+    const auto& self = members.self();
+    std::vector<owner_candidate> owners{{self.name, self.data_centre}};
+    for (const auto& peer : members.ready_peers(now))
+        owners.push_back({peer.name, peer.data_centre});
+    placer.set_members(std::move(owners));
+}
+
+std::map<service_id, double> knowledge::cold_rates() const
+{
+    std::map<service_id, double> result;
+    for (const auto& service : routes_.config().services)
+        result.emplace(service.id, service.cold_requests_per_second);
+    return result;
+}
+
+} // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/knowledge.hpp
@@ -0,0 +1,53 @@
+#ifndef VANILLAPOST_APPS_ROUTER_KNOWLEDGE_HPP
+#define VANILLAPOST_APPS_ROUTER_KNOWLEDGE_HPP
+
+#include "vanillapost/members.hpp"
+#include "vanillapost/placement.hpp"
+#include "vanillapost/routes.hpp"
+#include "vanillapost/targets.hpp"
+
+#include <memory>
+
+namespace vanillapost::router {
+
+/// What a router knows of its world: the configuration in force, the targets
+/// and the members. Controllers write it, requests read it.
+class knowledge
+{
+public:
+    knowledge(const member& self, random_engine random);
+
+    /// Puts a configuration in force unless a newer one is.
+    bool adopt(configuration config, time_point now);
+
+    /// After changes of `targets`.
+    void refresh_targets(time_point now);
+
+    /// After changes of `members`.
+    void refresh_members(time_point now);
+
+    /// Whether requests can be routed at all.
+    bool is_configured() const
+    {
+        return routes_.config().version > 0;
+    }
+
+    const route_table& routes() const
+    {
+        return routes_;
+    }
+
+    target_catalog targets;
+    member_table members;
+    target_placer placer;
+    part_picker parts;
+
+private:
+    std::map<service_id, double> cold_rates() const;
+
+    route_table routes_;
+};
+
+} // namespace vanillapost::router
+
+#endif
--- /dev/null
+++ b/apps/router/main.cpp
@@ -0,0 +1,85 @@
+#include "../../platform/language.hpp"
+#include "../../platform/store_client.hpp"
+#include "router_server.hpp"
+
+#include "vanillapost/records.hpp"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace {
+
+using namespace vanillapost;
+
+constexpr int exit_bad_settings = 1;
+constexpr int exit_failed = 2;
+
+std::string read_file(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw error("read settings", path, "cannot be opened");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// No two processes may have the same: it tells incarnations apart.
+std::uint64_t make_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32) | device();
+}
+
+int run(const router::router_settings& settings)
+{
+    io::start_log("vanillapost-router", settings.name, settings.log_level);
+    io::event_loop loop;
+    const auto language = platform::make_language();
+    platform::store_client store(loop, settings.platform_address);
+    router::router_server server(loop, settings, store, language, make_seed());
+    loop.on_signal(SIGTERM, [&] { server.leave(); });
+    loop.on_signal(SIGINT, [&] { server.leave(); });
+    // Addresses and names do not change while a process runs.
+    loop.on_signal(SIGHUP, [] { io::log(io::log_level::info, "reload"); });
+    server.start();
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("A router of vanillapost: takes requests of callers and sends "
+                 "each to a target that can answer now.\n"
+                 "Ends on SIGTERM after it has answered what it has read.\n"
+                 "Exit codes: 0 ended well, 1 bad settings, 2 failed.");
+    std::string file;
+    bool check = false;
+    app.add_option("--settings", file, "JSON file with the settings")
+        ->envname("VANILLAPOST_SETTINGS")
+        ->required();
+    app.add_flag("--check", check, "check the settings and end");
+    CLI11_PARSE(app, argc, argv);
+    try {
+        const auto settings =
+            router::parse_router_settings(read_file(file), file);
+        if (!check)
+            return run(settings);
+        std::cout << file << ": good\n";
+        return 0;
+    } catch (const field_error& failure) {
+        for (const auto& each : failure.problems())
+            std::cerr << file << ": " << each.field << ": found " << each.found
+                      << ", expected " << each.expected << '\n';
+        return exit_bad_settings;
+    } catch (const std::exception& failure) {
+        std::cerr << failure.what() << '\n';
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/apps/router/prober.cpp
@@ -0,0 +1,135 @@
+#include "prober.hpp"
+
+#include <charconv>
+#include <vector>
+
+namespace vanillapost::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A live target answers a probe within a few milliseconds; one packet lost
+/// on the way is sent again after some 200 ms.
+constexpr duration probe_timeout = 250ms;
+constexpr int status_ok = 200;
+
+duration read_ms(std::string_view text)
+{
+    std::int64_t ms = 0;
+    std::from_chars(text.data(), text.data() + text.size(), ms);
+    return std::chrono::milliseconds(ms);
+}
+
+} // namespace
+
+prober::prober(io::event_loop& loop, knowledge& known,
+               const platform_language& language,
+               target_connections& connections, router_metrics& metrics,
+               router_log& log, done_handler done)
+    : loop_(loop), known_(known), language_(language),
+      connections_(connections), metrics_(metrics), log_(log),
+      done_(std::move(done))
+{
+}
+
+void prober::measure(const target_id& target, std::uint64_t waiter)
+{
+    const auto running = probes_.find(target);
+    if (running != probes_.end()) {
+        running->second.waiters.insert(waiter);
+        return;
+    }
+    auto& made = probes_[target];
+    made.waiters.insert(waiter);
+    made.limit = std::make_unique<io::timer>(
+        loop_, [this, target] { fail(target, "no answer in time"); });
+    const auto* record = known_.targets.find(target);
+    if (!record) {
+        made.limit->start_once(duration::zero());
+        return;
+    }
+    made.limit->start_once(probe_timeout);
+    start(*record, made);
+}
+
+void prober::start(const listed_target& target, probe& made)
+{
+    const auto* service = known_.routes().service(target.service);
+    const std::string path = service ? service->health_path : "/health";
+    io::target_call_request request;
+    request.bytes =
+        "GET " + path + " HTTP/1.1\r\nHost: " + target.address + "\r\n\r\n";
+    io::target_call_handlers handlers;
+    const auto id = target.id;
+    handlers.on_head = [&made](io::target_answer_head&& head) {
+        made.status = head.status;
+        made.headers = std::move(head.headers);
+    };
+    handlers.on_data = [](std::string_view) {};
+    handlers.on_done = [this, id] { take_answer(id); };
+    handlers.on_failure = [this, id](const io::target_failure& failure) {
+        fail(id, failure.reason);
+    };
+    try {
+        made.call = connections_.pool_of(target).start(std::move(request),
+                                                       std::move(handlers));
+    } catch (const error& failure) {
+        log_.request(io::log_level::warning, "probe_not_sent",
+                     {{"target", id.value}, {"reason", failure.what()}});
+        made.limit->start_once(duration::zero());
+    }
+}
+
+void prober::take_answer(const target_id& target)
+{
+    const auto found = probes_.find(target);
+    auto* about = known_.placer.find(target);
+    if (about && !read_answer(target, found->second, *about)) {
+        fail(target, "status " + std::to_string(found->second.status));
+        return;
+    }
+    metrics_.count_probe(true);
+    end(target);
+}
+
+bool prober::read_answer(const target_id& target, const probe& ended,
+                         target_knowledge& about)
+{
+    const auto& names = language_.headers;
+    const auto now = loop_.now();
+    const auto instance = io::find_header(ended.headers, names.instance_id);
+    const bool is_other = instance && *instance != target.value;
+    if (ended.status != status_ok || is_other)
+        return false;
+    const auto cold = io::find_header(ended.headers, names.cold_left_ms);
+    if (cold)
+        about.on_cold(read_ms(*cold), now);
+    const auto load = io::find_header(ended.headers, names.load);
+    const auto report = load ? language_.read_load(*load) : std::nullopt;
+    about.on_report(report.value_or(load_report{}), true, now);
+    return true;
+}
+
+void prober::fail(const target_id& target, const std::string& reason)
+{
+    if (auto* about = known_.placer.find(target))
+        about->on_probe_failed(loop_.now());
+    metrics_.count_probe(false);
+    log_.request(io::log_level::info, "probe_failed",
+                 {{"target", target.value}, {"reason", reason}});
+    end(target);
+}
+
+// The probe's own timer or call may be on the stack.
+void prober::end(const target_id& target)
+{
+    auto ended = probes_.extract(target);
+    const auto waiters = std::move(ended.mapped().waiters);
+    auto rest = std::make_shared<probe>(std::move(ended.mapped()));
+    loop_.post([rest] {});
+    for (const auto waiter : waiters)
+        done_(waiter, target);
+}
+
+} // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/request_context.hpp
@@ -0,0 +1,37 @@
+#ifndef VANILLAPOST_APPS_ROUTER_REQUEST_CONTEXT_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUEST_CONTEXT_HPP
+
+#include "knowledge.hpp"
+#include "platform_language.hpp"
+#include "prober.hpp"
+#include "route_statistics.hpp"
+#include "router_log.hpp"
+#include "router_metrics.hpp"
+#include "service_budgets.hpp"
+#include "target_connections.hpp"
+
+namespace vanillapost::router {
+
+class request_task;
+
+/// What every request needs of its router.
+struct request_context
+{
+    io::event_loop& loop;
+    knowledge& known;
+    const platform_language& language;
+    router_metrics& metrics;
+    router_log& log;
+    target_connections& connections;
+    prober& probes;
+    service_budgets& budgets;
+    route_statistics& statistics;
+    random_engine& random;
+    std::function<void(request_task&)> ended;
+    /// A slot of the service may have become free.
+    std::function<void(const service_id&)> slot_freed;
+};
+
+} // namespace vanillapost::router
+
+#endif
--- /dev/null
+++ b/apps/router/request_engine.hpp
@@ -0,0 +1,54 @@
+#ifndef VANILLAPOST_APPS_ROUTER_REQUEST_ENGINE_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUEST_ENGINE_HPP
+
+#include "request_task.hpp"
+#include "router_settings.hpp"
+
+#include <map>
+
+namespace vanillapost::router {
+
+/// Takes requests of callers and sees each through to its answer.
+class request_engine
+{
+public:
+    request_engine(io::event_loop& loop, knowledge& known,
+                   const platform_language& language,
+                   const router_settings& settings, router_metrics& metrics,
+                   router_log& log, random_engine random);
+
+    void handle(std::unique_ptr<io::caller_exchange> exchange);
+
+    /// After the members have changed.
+    void set_members(std::size_t live);
+
+    std::size_t in_flight() const
+    {
+        return tasks_.size();
+    }
+
+private:
+    void refuse(io::caller_exchange& exchange, int status,
+                std::string_view reason, const io::http_request& request);
+    void on_measured(std::uint64_t waiter, const target_id& target);
+    void on_slot_freed(const service_id& service);
+    void on_ended(request_task& task);
+
+    io::event_loop& loop_;
+    knowledge& known_;
+    const platform_language& language_;
+    router_metrics& metrics_;
+    router_log& log_;
+    random_engine random_;
+    target_connections connections_;
+    prober probes_;
+    service_budgets budgets_;
+    route_statistics statistics_;
+    request_context context_;
+    std::map<std::uint64_t, std::unique_ptr<request_task>> tasks_;
+    std::uint64_t next_number_ = 1;
+};
+
+} // namespace vanillapost::router
+
+#endif
--- /dev/null
+++ b/apps/router/request_task.hpp
@@ -0,0 +1,138 @@
+#ifndef VANILLAPOST_APPS_ROUTER_REQUEST_TASK_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUEST_TASK_HPP
+
+#include "request_context.hpp"
+#include "vanillapost/attempts.hpp"
+#include "vanillapost/src/io/caller_server.hpp"
+
+#include <set>
+#include <vector>
+
+namespace vanillapost::router {
+
+/// One request of a caller, from its arrival to its answer.
+class request_task : public io::disposable
+{
+public:
+    request_task(std::uint64_t number, request_context& context,
+                 std::unique_ptr<io::caller_exchange> exchange,
+                 io::http_request request, route rule, service_id service);
+    ~request_task() override;
+
+    void start();
+
+    /// A probe that it waits for has ended.
+    void on_measured(const target_id& target);
+
+    /// Tries again to place it, if it waits for a slot.
+    void on_slot_freed();
+
+    std::uint64_t number() const
+    {
+        return number_;
+    }
+
+    const service_id& service() const
+    {
+        return service_;
+    }
+
+    bool waits_for_slot() const
+    {
+        return state_ == stage::waiting;
+    }
+
+    /// Order in which waiting requests get slots.
+    std::pair<int, time_point> rank() const
+    {
+        return {rule_.priority, arrived_};
+    }
+
+private:
+    enum class stage
+    {
+        measuring, ///< probes are out for its next attempt
+        waiting,   ///< for a slot
+        running,   ///< attempts are out, none is to be started
+        ended
+    };
+
+    struct attempt
+    {
+        target_id target;
+        std::unique_ptr<io::target_call> call;
+        time_point sent_at{};
+        duration expected{}; ///< with the target's load and pace
+        double slowness = 1; ///< of the target when it was sent
+        bool hedge = false;
+        io::target_answer_head head;
+        std::string body;
+        bool streaming = false;
+    };
+
+    void read_deadline();
+    placement_effort effort(time_point now) const;
+    void follow(const placement_decision& decision);
+    void place();
+    void consider_hedge();
+    duration hedge_delay(const attempt& first) const;
+    placement_request describe() const;
+    void measure(const std::vector<target_id>& targets);
+    void wait_for_slot(duration until_room);
+    void send(const place_on& place, bool hedge);
+    std::string format_request(const listed_target& target,
+                               time_point now) const;
+    io::target_call_handlers make_handlers(attempt& made);
+    void take_head(attempt& from, io::target_answer_head&& head);
+    void take_data(attempt& from, std::string_view data);
+    void begin_streaming(attempt& from);
+    void take_end(attempt& from);
+    void take_failure(attempt& from, const io::target_failure& failure);
+    attempt_outcome judge(const attempt& ended) const;
+    void note_ended(const attempt& ended, const attempt_outcome& outcome);
+    void note_report(const attempt& from);
+    void proceed(attempt& ended, const attempt_outcome& outcome);
+    void follow(const attempt_step& step, std::unique_ptr<attempt> ended,
+                const std::string& outcome);
+    void repeat();
+    void deliver(attempt& from);
+    void abandon_attempts();
+    void give_up(int failure_status, std::string_view reason,
+                 duration retry_after);
+    void refuse(std::string_view reason, duration retry_after);
+    void fail(int status, std::string_view reason);
+    void finish(request_result result, int status, std::string_view reason);
+    void on_gone();
+    void on_timer();
+    void arm_timer();
+    std::unique_ptr<attempt> take_attempt(attempt& ended);
+    std::string attempt_id() const;
+    duration waiting_limit() const;
+
+    std::uint64_t number_;
+    request_context& context_;
+    std::unique_ptr<io::caller_exchange> exchange_;
+    io::http_request request_;
+    route rule_;
+    service_id service_;
+    attempt_ledger ledger_;
+    stage state_ = stage::measuring;
+    time_point arrived_{};
+    time_point deadline_{};
+    time_point measure_until_{};
+    time_point retry_place_at_ = time_point::max();
+    time_point hedge_at_ = time_point::max();
+    int probe_rounds_ = 0;
+    bool hedging_ = false; ///< what is being placed is a hedge
+    std::set<target_id> measured_;
+    std::vector<std::unique_ptr<attempt>> attempts_;
+    /// A failure that a target answered, to pass on if nothing better comes.
+    std::unique_ptr<attempt> fallback_;
+    std::vector<target_id> tried_;
+    std::string history_; ///< targets and how the attempts there ended
+    io::timer timer_;
+};
+
+} // namespace vanillapost::router
+
+#endif
--- /dev/null
+++ b/apps/router/route_statistics.cpp
@@ -0,0 +1,49 @@
+#include "route_statistics.hpp"
+
+#include <algorithm>
+
+namespace vanillapost::router {
+
+namespace {
+
+constexpr double step = 0.05;
+/// First guesses for a route without answers.
+constexpr double work_share_of_objective = 0.4;
+constexpr duration work_without_objective = std::chrono::milliseconds(100);
+constexpr double download_kib = 64;
+constexpr double usual_kib = 2;
+constexpr double bytes_per_kib = 1024;
+
+} // namespace
+
+duration route_statistics::expected_work(const route& rule) const
+{
+    const auto found = routes_.find(rule.name);
+    if (found != routes_.end())
+        return duration(static_cast<duration::rep>(found->second.work_us));
+    if (rule.latency_objective == duration::zero())
+        return work_without_objective;
+    return duration(static_cast<duration::rep>(
+        static_cast<double>(rule.latency_objective.count()) *
+        work_share_of_objective));
+}
+
+double route_statistics::expected_kib(const route& rule) const
+{
+    const auto found = routes_.find(rule.name);
+    if (found != routes_.end())
+        return found->second.kib;
+    return rule.kind == request_kind::download ? download_kib : usual_kib;
+}
+
+void route_statistics::on_answer(const route& rule, duration work,
+                                 std::size_t bytes)
+{
+    const means first{static_cast<double>(expected_work(rule).count()),
+                      expected_kib(rule)};
+    auto& mean = routes_.try_emplace(rule.name, first).first->second;
+    mean.work_us += step * (static_cast<double>(work.count()) - mean.work_us);
+    mean.kib += step * (static_cast<double>(bytes) / bytes_per_kib - mean.kib);
+}
+
+} // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/router_log.hpp
@@ -0,0 +1,41 @@
+#ifndef VANILLAPOST_APPS_ROUTER_ROUTER_LOG_HPP
+#define VANILLAPOST_APPS_ROUTER_ROUTER_LOG_HPP
+
+#include "vanillapost/base.hpp"
+#include "vanillapost/io.hpp"
+
+#include <cstdint>
+#include <initializer_list>
+
+namespace vanillapost::router {
+
+/// Log lines with a bound on their rate. Failures have a reserve of their
+/// own, so that many good requests never hide them.
+class router_log
+{
+public:
+    router_log(io::event_loop& loop, int lines_per_second);
+
+    /// A line that is left out when too many were written this second. How
+    /// many were left out is told when the second is over.
+    void request(io::log_level level, std::string_view event,
+                 std::initializer_list<io::log_field> fields);
+
+    /// A line that is always written: start, stop, a lost dependency.
+    void state(io::log_level level, std::string_view event,
+               std::initializer_list<io::log_field> fields = {});
+
+private:
+    void next_second(time_point now);
+
+    io::event_loop& loop_;
+    int limit_;
+    time_point second_{};
+    int written_ = 0;
+    int failures_written_ = 0;
+    std::uint64_t left_out_ = 0;
+};
+
+} // namespace vanillapost::router
+
+#endif
--- /dev/null
+++ b/apps/router/router_metrics.cpp
@@ -0,0 +1,139 @@
+#include "router_metrics.hpp"
+
+#include "vanillapost/exposition.hpp"
+
+#include <array>
+
+namespace vanillapost::router {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> result_names = {
+    "good", "slow", "refused", "failed", "gone"};
+
+const prometheus::Histogram::BucketBoundaries latency_buckets = {
+    0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8};
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+prometheus::Gauge& make_gauge(prometheus::Registry& registry,
+                              const std::string& name, const std::string& help)
+{
+    return prometheus::BuildGauge()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add({});
+}
+
+} // namespace
+
+std::string_view to_string(request_result result)
+{
+    return result_names[static_cast<std::size_t>(result)];
+}
+
+router_metrics::router_metrics()
+    : requests_(prometheus::BuildCounter()
+                    .Name(std::string(request_counter_name))
+                    .Help("Requests by service and how they ended")
+                    .Register(registry_)),
+      seconds_(prometheus::BuildHistogram()
+                   .Name("vanillapost_request_seconds")
+                   .Help("Time from a request to its whole answer")
+                   .Register(registry_)),
+      attempts_(prometheus::BuildCounter()
+                    .Name("vanillapost_attempts_total")
+                    .Help("Requests sent to targets, by service and kind")
+                    .Register(registry_)),
+      probes_(prometheus::BuildCounter()
+                  .Name("vanillapost_probes_total")
+                  .Help("Probes of targets, by whether they were answered")
+                  .Register(registry_)),
+      unrouted_(prometheus::BuildCounter()
+                    .Name("vanillapost_unrouted_requests_total")
+                    .Help("Requests for which no route is known")
+                    .Register(registry_)
+                    .Add({})),
+      in_flight_(make_gauge(registry_, "vanillapost_requests_in_flight",
+                            "Requests without their whole answer")),
+      version_(make_gauge(registry_, "vanillapost_configuration_version",
+                          "Version of the configuration in force")),
+      store_(make_gauge(registry_, "vanillapost_store_reachable",
+                        "Whether the platform's store answers")),
+      members_(make_gauge(registry_, "vanillapost_members",
+                          "Live instances, this one included")),
+      targets_(make_gauge(registry_, "vanillapost_targets",
+                          "Targets that are listed"))
+{
+}
+
+router_metrics::service_metrics& router_metrics::of(const service_id& service)
+{
+    const auto found = services_.find(service);
+    if (found != services_.end())
+        return found->second;
+    service_metrics made{};
+    for (std::size_t i = 0; i < result_names.size(); ++i)
+        made.results[i] =
+            &requests_.Add({{"service", service.value},
+                            {"result", std::string(result_names[i])}});
+    made.seconds = &seconds_.Add({{"service", service.value}}, latency_buckets);
+    return services_.emplace(service, made).first->second;
+}
+
+void router_metrics::count_request(const service_id& service,
+                                   request_result result, duration taken)
+{
+    auto& metrics = of(service);
+    metrics.results[static_cast<std::size_t>(result)]->Increment();
+    if (result == request_result::good || result == request_result::slow)
+        metrics.seconds->Observe(seconds(taken));
+}
+
+void router_metrics::count_attempt(const service_id& service,
+                                   std::string_view kind)
+{
+    attempts_.Add({{"service", service.value}, {"kind", std::string(kind)}})
+        .Increment();
+}
+
+void router_metrics::count_probe(bool answered)
+{
+    probes_.Add({{"answered", answered ? "yes" : "no"}}).Increment();
+}
+
+void router_metrics::count_unrouted()
+{
+    unrouted_.Increment();
+}
+
+void router_metrics::set_in_flight(std::size_t requests)
+{
+    in_flight_.Set(static_cast<double>(requests));
+}
+
+void router_metrics::set_configuration_version(std::uint64_t version)
+{
+    version_.Set(static_cast<double>(version));
+}
+
+void router_metrics::set_store_reachable(bool reachable)
+{
+    store_.Set(reachable ? 1 : 0);
+}
+
+void router_metrics::set_members(std::size_t live)
+{
+    members_.Set(static_cast<double>(live));
+}
+
+void router_metrics::set_targets(std::size_t listed)
+{
+    targets_.Set(static_cast<double>(listed));
+}
+
+} // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/router_metrics.hpp
@@ -0,0 +1,77 @@
+#ifndef VANILLAPOST_APPS_ROUTER_ROUTER_METRICS_HPP
+#define VANILLAPOST_APPS_ROUTER_ROUTER_METRICS_HPP
+
+#include "vanillapost/base.hpp"
+
+#include <map>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string_view>
+
+namespace vanillapost::router {
+
+/// How a request ended, for the service-level report.
+enum class request_result
+{
+    good,    ///< answered within the objective
+    slow,    ///< answered, later than the objective
+    refused, ///< refused, did not run
+    failed,  ///< no usable answer; may have run
+    gone,    ///< the caller left first
+};
+
+/// Counters and latency of a router.
+class router_metrics
+{
+public:
+    router_metrics();
+
+    void count_request(const service_id& service, request_result result,
+                       duration taken);
+    /// \param kind  "first", "repeat" or "hedge"
+    void count_attempt(const service_id& service, std::string_view kind);
+    void count_probe(bool answered);
+    void count_unrouted();
+
+    void set_in_flight(std::size_t requests);
+    void set_configuration_version(std::uint64_t version);
+    void set_store_reachable(bool reachable);
+    void set_members(std::size_t live);
+    void set_targets(std::size_t listed);
+
+    const prometheus::Registry& registry() const
+    {
+        return registry_;
+    }
+
+private:
+    struct service_metrics
+    {
+        prometheus::Counter* results[5];
+        prometheus::Histogram* seconds;
+    };
+
+    service_metrics& of(const service_id& service);
+
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Family<prometheus::Histogram>& seconds_;
+    prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& probes_;
+    prometheus::Counter& unrouted_;
+    prometheus::Gauge& in_flight_;
+    prometheus::Gauge& version_;
+    prometheus::Gauge& store_;
+    prometheus::Gauge& members_;
+    prometheus::Gauge& targets_;
+    std::map<service_id, service_metrics> services_;
+};
+
+std::string_view to_string(request_result result);
+
+} // namespace vanillapost::router
+
+#endif
--- /dev/null
+++ b/apps/router/router_server.cpp
@@ -0,0 +1,138 @@
+#include "router_server.hpp"
+
+namespace vanillapost::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration check_interval = 100ms;
+/// Callers know our address for a while after we have asked them not to use
+/// it: connections are taken for this part of the grace period.
+constexpr double accepting_share = 0.42;
+/// The process ends by itself this long before it would be killed.
+constexpr duration exit_margin = 400ms;
+
+member describe_self(const router_settings& settings, std::uint64_t seed)
+{
+    member self;
+    self.name.value = settings.name;
+    self.incarnation = std::to_string(seed);
+    self.data_centre = settings.data_centre;
+    self.caller_address = io::to_string(settings.caller_address);
+    self.peer_address = io::to_string(settings.peer_address);
+    self.query_address = io::to_string(settings.query_address);
+    return self;
+}
+
+io::caller_server_limits server_limits(const caller_limits& limits)
+{
+    io::caller_server_limits result;
+    result.max_header_bytes = limits.max_header_bytes;
+    result.max_body_bytes = limits.max_body_bytes;
+    result.header_timeout = limits.header_timeout;
+    result.idle_timeout = limits.idle_timeout;
+    return result;
+}
+
+} // namespace
+
+router_server::router_server(io::event_loop& loop,
+                             const router_settings& settings,
+                             io::row_store& store,
+                             const platform_language& language,
+                             std::uint64_t seed)
+    : loop_(loop), settings_(settings),
+      log_(loop, settings.log_lines_per_second), random_(seed),
+      known_(describe_self(settings, seed), random_engine(random_())),
+      state_(loop, store, language, known_, log_, random_engine(random_())),
+      peers_(loop, settings.peer_address, settings.seeds, known_, state_, log_),
+      engine_(loop, known_, language, settings, metrics_, log_,
+              random_engine(random_())),
+      directory_(loop, known_, state_, language, metrics_.registry(),
+                 settings.answer_lifetime, random_engine(random_())),
+      callers_(loop, server_limits({}),
+               [this](std::unique_ptr<io::caller_exchange> exchange) {
+                   engine_.handle(std::move(exchange));
+               }),
+      check_timer_(loop, [this] { check(); })
+{
+}
+
+void router_server::start()
+{
+    callers_.listen(settings_.caller_address);
+    directory_.listen({settings_.ready_address, settings_.directory_address,
+                       settings_.query_address, settings_.metrics_address});
+    state_.start();
+    peers_.start();
+    check_timer_.start_every(check_interval);
+    log_.state(io::log_level::info, "started",
+               {{"caller_address", io::to_string(settings_.caller_address)},
+                {"data_centre", settings_.data_centre.value}});
+}
+
+void router_server::leave()
+{
+    if (leaving_since_)
+        return;
+    leaving_since_ = loop_.now();
+    log_.state(io::log_level::info, "leaving",
+               {{"in_flight", std::to_string(engine_.in_flight())}});
+    directory_.set_ready(false);
+    callers_.announce_close();
+    peers_.leave();
+    state_.leave();
+}
+
+void router_server::check()
+{
+    const auto now = loop_.now();
+    if (leaving_since_) {
+        check_leaving(now);
+        return;
+    }
+    const bool ready = known_.is_configured();
+    if (ready != ready_) {
+        ready_ = ready;
+        directory_.set_ready(ready);
+        peers_.set_ready(ready);
+        log_.state(io::log_level::info, "ready");
+    }
+    const auto& limits = known_.routes().config().limits;
+    if (limits != limits_) {
+        limits_ = limits;
+        callers_.set_limits(server_limits(limits));
+    }
+    update_metrics(now);
+}
+
+void router_server::update_metrics(time_point now)
+{
+    const auto live = known_.members.live_peers(now).size() + 1;
+    engine_.set_members(live);
+    metrics_.set_members(live);
+    metrics_.set_targets(known_.targets.all().size());
+    metrics_.set_configuration_version(known_.routes().config().version);
+    metrics_.set_store_reachable(state_.is_store_reachable());
+}
+
+void router_server::check_leaving(time_point now)
+{
+    const auto since = now - *leaving_since_;
+    const auto accepting = std::chrono::duration_cast<duration>(
+        settings_.grace_period * accepting_share);
+    if (!closed_ && since >= accepting) {
+        closed_ = true;
+        callers_.stop_accepting();
+    }
+    const bool idle = closed_ && callers_.connections() == 0;
+    const bool out_of_time = since >= settings_.grace_period - exit_margin;
+    if (!idle && !out_of_time)
+        return;
+    log_.state(io::log_level::info, "stopped",
+               {{"in_flight", std::to_string(engine_.in_flight())}});
+    loop_.stop();
+}
+
+} // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/router_server.hpp
@@ -0,0 +1,49 @@
+#ifndef VANILLAPOST_APPS_ROUTER_ROUTER_SERVER_HPP
+#define VANILLAPOST_APPS_ROUTER_ROUTER_SERVER_HPP
+
+#include "directory.hpp"
+#include "peer_controller.hpp"
+#include "request_engine.hpp"
+
+namespace vanillapost::router {
+
+/// A whole router: puts its parts together, starts them and ends them.
+class router_server
+{
+public:
+    /// \throws error  when an address cannot be bound
+    router_server(io::event_loop& loop, const router_settings& settings,
+                  io::row_store& store, const platform_language& language,
+                  std::uint64_t seed);
+
+    void start();
+
+    /// Ends in order: tells everybody, finishes what was read, stops the loop.
+    void leave();
+
+private:
+    void check();
+    void check_leaving(time_point now);
+    void update_metrics(time_point now);
+
+    io::event_loop& loop_;
+    router_settings settings_;
+    router_log log_;
+    router_metrics metrics_;
+    random_engine random_;
+    knowledge known_;
+    state_controller state_;
+    peer_controller peers_;
+    request_engine engine_;
+    directory directory_;
+    io::caller_server callers_;
+    io::timer check_timer_;
+    bool ready_ = false;
+    bool closed_ = false; ///< accepts no connections any more
+    std::optional<time_point> leaving_since_;
+    caller_limits limits_;
+};
+
+} // namespace vanillapost::router
+
+#endif
--- /dev/null
+++ b/apps/router/router_settings.cpp
@@ -0,0 +1,120 @@
+#include "router_settings.hpp"
+
+#include "vanillapost/records.hpp"
+#include "vanillapost/src/records/field_reader.hpp"
+
+#include <array>
+
+namespace vanillapost::router {
+
+namespace {
+
+constexpr std::string_view step = "read settings";
+constexpr std::size_t max_settings_bytes = 64 * 1024;
+constexpr double max_repeat_allowance = 1e6;
+constexpr std::int64_t max_log_lines = 100'000;
+constexpr std::array<std::string_view, 4> level_names = {"debug", "info",
+                                                         "warning", "error"};
+
+duration read_duration(detail::field_reader& reader, std::string_view field,
+                       duration fallback)
+{
+    const auto text = reader.text(field, "");
+    if (text.empty())
+        return fallback;
+    const auto value = parse_duration(text);
+    if (!value)
+        reader.problem(field, text, "a time such as \"1500ms\" or \"2.5s\"");
+    return value.value_or(fallback);
+}
+
+io::address read_address(detail::field_reader& reader, std::string_view field,
+                         bool required = true)
+{
+    const auto text = required ? reader.text(field) : reader.text(field, "");
+    if (text.empty())
+        return {};
+    try {
+        return io::parse_address(text);
+    } catch (const error&) {
+        reader.problem(field, text,
+                       "an IP number and a port, as in \"127.0.0.1:8080\"");
+        return {};
+    }
+}
+
+std::vector<std::string> read_seeds(detail::field_reader& reader)
+{
+    std::vector<std::string> result;
+    const auto* list = reader.child("seeds");
+    if (!list)
+        return result;
+    for (const auto& each : *list) {
+        if (!each.is_string())
+            reader.problem("seeds", each.dump(), "a list of addresses");
+        else if (!each.get<std::string>().empty())
+            result.push_back(each);
+    }
+    return result;
+}
+
+} // namespace
+
+router_settings parse_router_settings(std::string_view text,
+                                      std::string_view file)
+{
+    const auto document =
+        parse_bounded_json(text, max_settings_bytes, step, file);
+    detail::field_reader reader(document);
+    router_settings result;
+    result.name = reader.text("name");
+    result.data_centre.value = reader.text("data_centre");
+    result.caller_address = read_address(reader, "caller_address");
+    result.ready_address = read_address(reader, "ready_address");
+    result.directory_address = read_address(reader, "directory_address");
+    result.query_address = read_address(reader, "query_address");
+    result.peer_address = read_address(reader, "peer_address");
+    result.metrics_address = read_address(reader, "metrics_address", false);
+    result.platform_address = read_address(reader, "platform_address");
+    result.seeds = read_seeds(reader);
+    result.grace_period =
+        read_duration(reader, "grace_period", result.grace_period);
+    result.answer_lifetime =
+        read_duration(reader, "answer_lifetime", result.answer_lifetime);
+    result.repeats.ratio =
+        reader.number("repeat_ratio", 0, 1, result.repeats.ratio);
+    result.repeats.allowance = reader.number(
+        "repeat_allowance", 0, max_repeat_allowance, result.repeats.allowance);
+    result.repeats.window =
+        read_duration(reader, "repeat_window", result.repeats.window);
+    result.log_level = static_cast<io::log_level>(reader.choice(
+        "log_level",
+        {level_names[0], level_names[1], level_names[2], level_names[3]}, 1));
+    result.log_lines_per_second = static_cast<int>(reader.integer(
+        "log_lines_per_second", 0, max_log_lines, result.log_lines_per_second));
+    reader.finish(step, file);
+    return result;
+}
+
+nlohmann::json to_json(const router_settings& settings)
+{
+    return {{"name", settings.name},
+            {"data_centre", settings.data_centre.value},
+            {"caller_address", io::to_string(settings.caller_address)},
+            {"ready_address", io::to_string(settings.ready_address)},
+            {"directory_address", io::to_string(settings.directory_address)},
+            {"query_address", io::to_string(settings.query_address)},
+            {"peer_address", io::to_string(settings.peer_address)},
+            {"metrics_address", io::to_string(settings.metrics_address)},
+            {"platform_address", io::to_string(settings.platform_address)},
+            {"seeds", settings.seeds},
+            {"grace_period", format_duration(settings.grace_period)},
+            {"answer_lifetime", format_duration(settings.answer_lifetime)},
+            {"repeat_ratio", settings.repeats.ratio},
+            {"repeat_allowance", settings.repeats.allowance},
+            {"repeat_window", format_duration(settings.repeats.window)},
+            {"log_level", level_names[static_cast<int>(settings.log_level)]},
+            {"log_lines_per_second", settings.log_lines_per_second}};
+}
+
+} // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/service_budgets.hpp
@@ -0,0 +1,41 @@
+#ifndef VANILLAPOST_APPS_ROUTER_SERVICE_BUDGETS_HPP
+#define VANILLAPOST_APPS_ROUTER_SERVICE_BUDGETS_HPP
+
+#include "vanillapost/attempts.hpp"
+#include "vanillapost/base.hpp"
+
+#include <map>
+
+namespace vanillapost::router {
+
+/// The repeat budget of each service.
+class service_budgets
+{
+public:
+    service_budgets(const repeat_budget_settings& settings, time_point start)
+        : settings_(settings), start_(start)
+    {
+    }
+
+    repeat_budget& of(const service_id& service)
+    {
+        const auto found = budgets_.try_emplace(service, settings_, start_);
+        found.first->second.set_members(members_);
+        return found.first->second;
+    }
+
+    void set_members(std::size_t members)
+    {
+        members_ = members;
+    }
+
+private:
+    repeat_budget_settings settings_;
+    time_point start_;
+    std::size_t members_ = 1;
+    std::map<service_id, repeat_budget> budgets_;
+};
+
+} // namespace vanillapost::router
+
+#endif
--- /dev/null
+++ b/apps/router/target_connections.cpp
@@ -0,0 +1,75 @@
+#include "target_connections.hpp"
+
+#include <algorithm>
+
+namespace vanillapost::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration sweep_interval = 500ms;
+constexpr std::size_t fewest_connections = 4;
+constexpr std::size_t most_connections = 64;
+/// Instances that could connect for each that is known: spares join, and
+/// connections of one that has just died may still be open.
+constexpr double growth_reserve = 2;
+
+} // namespace
+
+target_connections::target_connections(io::event_loop& loop,
+                                       const knowledge& known,
+                                       const platform_language& language)
+    : loop_(loop), known_(known), language_(language),
+      sweep_timer_(loop, [this] { sweep(); })
+{
+    sweep_timer_.start_every(sweep_interval);
+}
+
+io::target_pool& target_connections::pool_of(const listed_target& target)
+{
+    auto& found = pools_[target.id];
+    if (found.pool && found.address == target.address)
+        return *found.pool;
+    io::target_pool_settings settings;
+    settings.id_header = language_.headers.attempt_id;
+    settings.max_connections = connection_limit(target);
+    found.address = target.address;
+    found.pool = std::make_unique<io::target_pool>(
+        loop_, io::parse_address(target.address), std::move(settings));
+    return *found.pool;
+}
+
+// A target resets what goes beyond its limit over all callers.
+std::size_t
+target_connections::connection_limit(const listed_target& target) const
+{
+    const auto* service = known_.routes().service(target.service);
+    if (!service || service->max_connections <= 0)
+        return most_connections;
+    const auto members = static_cast<double>(known_.members.peers().size() + 1);
+    const auto share = static_cast<std::size_t>(service->max_connections /
+                                                (members * growth_reserve));
+    return std::clamp(share, fewest_connections, most_connections);
+}
+
+void target_connections::sweep()
+{
+    const auto now = loop_.now();
+    for (auto each = pools_.begin(); each != pools_.end();) {
+        each->second.pool->sweep(now);
+        const bool listed = known_.targets.find(each->first) != nullptr;
+        const bool unused = each->second.pool->open_connections() == 0;
+        each = !listed && unused ? pools_.erase(each) : std::next(each);
+    }
+}
+
+std::uint64_t target_connections::made() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, each] : pools_)
+        sum += each.pool->connections_made();
+    return sum;
+}
+
+} // namespace vanillapost::router
--- /dev/null
+++ b/include/vanillapost/attempts.hpp
@@ -0,0 +1,11 @@
+#ifndef VANILLAPOST_ATTEMPTS_HPP
+#define VANILLAPOST_ATTEMPTS_HPP
+
+/// Umbrella header of the attempts module: what follows an attempt at a
+/// target, and how many repeats a service gets.
+
+#include "src/attempts/attempt_ledger.hpp"
+#include "src/attempts/attempt_outcome.hpp"
+#include "src/attempts/repeat_budget.hpp"
+
+#endif
--- a/include/vanillapost/base.hpp
+++ b/include/vanillapost/base.hpp
@@ -4,6 +4,7 @@
 /// Umbrella header of the base module: time, errors, identifiers and
 /// random numbers that the other modules share.
 
+#include "src/base/duration_text.hpp"
 #include "src/base/error.hpp"
 #include "src/base/identifier.hpp"
 #include "src/base/random.hpp"
--- /dev/null
+++ b/include/vanillapost/members.hpp
@@ -0,0 +1,12 @@
+#ifndef VANILLAPOST_MEMBERS_HPP
+#define VANILLAPOST_MEMBERS_HPP
+
+/// Umbrella header of the members module: the instances, which of them live,
+/// and which addresses callers are told.
+
+#include "src/members/address_choice.hpp"
+#include "src/members/member.hpp"
+#include "src/members/member_codec.hpp"
+#include "src/members/member_table.hpp"
+
+#endif
--- /dev/null
+++ b/include/vanillapost/placement.hpp
@@ -0,0 +1,13 @@
+#ifndef VANILLAPOST_PLACEMENT_HPP
+#define VANILLAPOST_PLACEMENT_HPP
+
+/// Umbrella header of the placement module: which target gets a request, by
+/// what instances know of targets from answers and probes.
+
+#include "src/placement/cold_share.hpp"
+#include "src/placement/load_report.hpp"
+#include "src/placement/placement_request.hpp"
+#include "src/placement/target_knowledge.hpp"
+#include "src/placement/target_placer.hpp"
+
+#endif
--- /dev/null
+++ b/include/vanillapost/routes.hpp
@@ -0,0 +1,11 @@
+#ifndef VANILLAPOST_ROUTES_HPP
+#define VANILLAPOST_ROUTES_HPP
+
+/// Umbrella header of the routes module: the operators' configuration and the
+/// route of a request.
+
+#include "src/routes/configuration.hpp"
+#include "src/routes/part_picker.hpp"
+#include "src/routes/route_table.hpp"
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -0,0 +1,104 @@
+#ifndef VANILLAPOST_SRC_IO_CALLER_SERVER_HPP
+#define VANILLAPOST_SRC_IO_CALLER_SERVER_HPP
+
+#include "../base/time.hpp"
+#include "address.hpp"
+#include "event_loop.hpp"
+#include "http_message.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace vanillapost::io {
+
+namespace detail {
+struct caller_slot;
+}
+
+/// Bounds on what one caller can make the server hold.
+struct caller_server_limits
+{
+    std::size_t max_header_bytes = 16 * 1024;
+    std::size_t max_body_bytes = 64 * 1024 * 1024;
+    duration header_timeout = std::chrono::seconds(3);
+    duration idle_timeout = std::chrono::seconds(15);
+    std::size_t max_pipelined = 64; ///< requests of one connection at a time
+    std::size_t max_connections = 8192;
+};
+
+/// One request and the answer to it.
+///
+/// Destroying it before the answer is complete breaks the connection off, so
+/// that the caller sees a failure and not a whole answer.
+class caller_exchange
+{
+public:
+    explicit caller_exchange(detail::caller_slot& slot);
+    ~caller_exchange();
+    caller_exchange(const caller_exchange&) = delete;
+    caller_exchange& operator=(const caller_exchange&) = delete;
+
+    /// The request; once.
+    http_request take_request();
+
+    /// Called once when the caller has closed its connection.
+    void on_gone(std::function<void()> handler);
+
+    /// Sends the whole answer.
+    void reply(int status, const header_list& headers, std::string_view body);
+
+    /// Starts an answer that is streamed, chunked when no length is given.
+    void begin(int status, const header_list& headers,
+               std::optional<std::uint64_t> length);
+    void write(std::string_view data);
+    void finish();
+
+    /// Bytes written that the kernel has not taken yet.
+    std::size_t pending_bytes() const;
+
+private:
+    friend struct detail::caller_slot;
+
+    detail::caller_slot* slot_;
+    std::function<void()> gone_;
+};
+
+/// HTTP/1.1 towards callers: answers pipelined requests in their order while
+/// it works on them side by side.
+class caller_server
+{
+public:
+    using handler = std::function<void(std::unique_ptr<caller_exchange>)>;
+    struct state;
+
+    caller_server(event_loop& loop, caller_server_limits limits,
+                  handler handle);
+    ~caller_server();
+
+    /// Listens; port 0 takes a free one. Returns the bound address.
+    /// \throws error  when the address cannot be bound
+    address listen(const address& where);
+
+    /// For connections and requests from now on.
+    void set_limits(const caller_server_limits& limits);
+
+    /// Answers say `Connection: close` from now on where nothing follows.
+    void announce_close();
+
+    /// Refuses new connections and closes those without a request.
+    void stop_accepting();
+
+    /// Requests without their whole answer.
+    std::size_t in_flight() const;
+
+    std::size_t connections() const;
+
+private:
+    std::unique_ptr<state> state_;
+};
+
+} // namespace vanillapost::io
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -0,0 +1,108 @@
+#ifndef VANILLAPOST_SRC_IO_DETAIL_CALLER_CONNECTION_HPP
+#define VANILLAPOST_SRC_IO_DETAIL_CALLER_CONNECTION_HPP
+
+#include "../caller_server.hpp"
+#include "http1_reader.hpp"
+
+#include <deque>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <memory>
+#include <string>
+
+namespace vanillapost::io::detail {
+
+class caller_connection;
+
+/// The place of one request in the order of answers of its connection.
+struct caller_slot
+{
+    caller_connection* connection = nullptr; ///< null once it has ended
+    caller_exchange* owner = nullptr;        ///< null once it was destroyed
+    http_request request;
+    std::string method; ///< stays when the request is taken
+    bool keep_alive = true;
+    bool chunked = false;
+    bool finished = false;
+    std::string held; ///< answer bytes behind those of earlier requests
+
+    static void notify_gone(caller_exchange& owner);
+};
+
+/// What a connection needs of the server that owns it.
+struct connection_host
+{
+    event_loop* loop = nullptr;
+    caller_server_limits limits;
+    caller_server::handler handle;
+    bool closing = false; ///< answers say `Connection: close`
+    std::size_t in_flight = 0;
+    std::function<void(caller_connection&)> ended;
+};
+
+/// One connection of a caller.
+///
+/// libevent may be on the stack when it ends, so it is destroyed through
+/// `event_loop::dispose`.
+class caller_connection : public disposable
+{
+public:
+    caller_connection(connection_host& host, evutil_socket_t socket);
+    ~caller_connection() override;
+
+    /// Takes answer bytes of a slot; they go out when it is its turn.
+    void send(caller_slot& slot, std::string_view bytes);
+    void finish(caller_slot& slot);
+
+    /// The answer of the slot cannot be completed.
+    void break_off();
+
+    std::size_t pending_bytes(const caller_slot& slot) const;
+
+    /// Closes it if no request is being read or answered.
+    void close_if_idle();
+
+    /// Enforces the time limits.
+    void check_time(time_point now);
+
+    bool says_close(const caller_slot& slot) const;
+
+private:
+    static void on_readable(bufferevent* stream, void* self);
+    static void on_written(bufferevent* stream, void* self);
+    static void on_event(bufferevent* stream, short what, void* self);
+
+    void read_requests();
+    void take_head(message_head&& head);
+    void take_body(std::string_view bytes);
+    void take_request();
+    void refuse(int status, std::string_view reason);
+    void flush();
+    void drop_slots();
+    void close_gracefully();
+    void end();
+
+    connection_host& host_;
+    std::unique_ptr<bufferevent, decltype(&bufferevent_free)> stream_{
+        nullptr, &bufferevent_free};
+    http1_reader reader_;
+    std::deque<std::unique_ptr<caller_slot>> slots_;
+    std::unique_ptr<caller_slot> incoming_;
+    bool headers_read_ = false;
+    bool body_too_large_ = false;
+    bool closing_ = false;     ///< nothing more is read
+    bool wrote_close_ = false; ///< our side is shut down
+    bool reading_ = false;
+    bool ended_ = false;
+    time_point message_since_{}; ///< its first byte
+    time_point idle_since_{};
+    time_point closing_since_{};
+};
+
+/// First line and headers of an answer.
+std::string format_answer_head(int status, const header_list& headers,
+                               std::string_view framing, bool close);
+
+} // namespace vanillapost::io::detail
+
+#endif
--- a/include/vanillapost/src/io/detail/socket.hpp
+++ b/include/vanillapost/src/io/detail/socket.hpp
@@ -18,6 +18,9 @@
 
 void set_no_delay(evutil_socket_t socket);
 
+/// Has the kernel end a connection within some seconds of its peer's silence.
+void set_keep_alive_probes(evutil_socket_t socket);
+
 address local_address(evutil_socket_t socket);
 
 /// An address as the socket functions take it.
--- a/include/vanillapost/src/io/http_client.hpp
+++ b/include/vanillapost/src/io/http_client.hpp
@@ -64,6 +64,8 @@
     std::size_t max_header_bytes = 16 * 1024;
     duration connect_timeout = std::chrono::milliseconds(500);
     duration idle_timeout = std::chrono::seconds(30);
+    /// Let the kernel find connections whose peer has gone silent.
+    bool keep_alive_probes = false;
 };
 
 /// Keeps connections to one address and sends calls over them, one call at a
--- /dev/null
+++ b/include/vanillapost/src/io/row_store.hpp
@@ -0,0 +1,76 @@
+#ifndef VANILLAPOST_SRC_IO_ROW_STORE_HPP
+#define VANILLAPOST_SRC_IO_ROW_STORE_HPP
+
+#include "../base/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace vanillapost::io {
+
+/// A row of a table, or the news that it was removed.
+struct store_row
+{
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0; ///< of its last change; rises over all tables
+    bool removed = false;
+};
+
+struct store_rows
+{
+    std::vector<store_row> rows;
+    std::uint64_t revision = 0; ///< of the store when it answered
+    bool more = false;          ///< further keys follow
+};
+
+enum class store_failure_kind
+{
+    unreachable,  ///< no connection, or no answer: a write may have been done
+    refused,      ///< nothing was done
+    history_lost, ///< changes since that revision are not kept any more
+    conflict,     ///< a row was not as expected
+    bad_answer,
+};
+
+struct store_failure
+{
+    store_failure_kind kind = store_failure_kind::unreachable;
+    std::string what;
+};
+
+using store_result = std::variant<store_rows, store_failure>;
+
+/// Tables of rows that outlast the instances, as the library needs them from
+/// the platform.
+///
+/// Every call ends with one callback, never before it returns.
+class row_store
+{
+public:
+    using handler = std::function<void(store_result)>;
+
+    virtual ~row_store() = default;
+
+    /// Rows in order of their keys, from the first that is not less.
+    virtual void read(std::string_view table, std::string_view first_key,
+                      handler done) = 0;
+
+    /// Rows changed after a revision; waits until there is one.
+    virtual void follow(std::string_view table, std::uint64_t after,
+                        duration longest_wait, handler done) = 0;
+
+    virtual void put(std::string_view table, std::string_view key,
+                     std::string_view value, handler done) = 0;
+
+    virtual void remove(std::string_view table, std::string_view key,
+                        handler done) = 0;
+};
+
+} // namespace vanillapost::io
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/io/table_follower.hpp
@@ -0,0 +1,84 @@
+#ifndef VANILLAPOST_SRC_IO_TABLE_FOLLOWER_HPP
+#define VANILLAPOST_SRC_IO_TABLE_FOLLOWER_HPP
+
+#include "../base/random.hpp"
+#include "event_loop.hpp"
+#include "row_store.hpp"
+
+#include <optional>
+
+namespace vanillapost::io {
+
+struct table_follower_settings
+{
+    /// How long the store holds back an answer while nothing changes.
+    duration longest_wait = std::chrono::seconds(10);
+    /// Pause between two answers, so that many changes come in one.
+    duration batch_delay = std::chrono::milliseconds(60);
+    duration first_retry = std::chrono::milliseconds(100);
+    duration longest_retry = std::chrono::milliseconds(800);
+};
+
+struct table_follower_handlers
+{
+    /// The whole table.
+    std::function<void(const std::vector<store_row>&)> on_read;
+    /// Rows in the order of their changes.
+    std::function<void(const std::vector<store_row>&)> on_changed;
+    std::function<void(const store_failure&)> on_lost; ///< once an outage
+    std::function<void()> on_back;
+};
+
+/// Reads a table once and follows its changes, through outages of the store
+/// and loss of its history.
+class table_follower
+{
+public:
+    table_follower(event_loop& loop, row_store& store, std::string table,
+                   table_follower_settings settings, random_engine random,
+                   table_follower_handlers handlers);
+    ~table_follower();
+    table_follower(const table_follower&) = delete;
+    table_follower& operator=(const table_follower&) = delete;
+
+    void start();
+
+    /// Revision up to which every change is known; 0 before the first read.
+    std::uint64_t revision() const
+    {
+        return revision_;
+    }
+
+    bool is_reachable() const
+    {
+        return reachable_;
+    }
+
+private:
+    void next();
+    void read_page(std::string first_key);
+    void take_page(store_result result);
+    void follow();
+    void take_changes(store_result result);
+    void on_answer();
+    void on_failure(const store_failure& failure);
+
+    event_loop& loop_;
+    row_store& store_;
+    std::string table_;
+    table_follower_settings settings_;
+    random_engine random_;
+    table_follower_handlers handlers_;
+    timer timer_;
+    std::shared_ptr<bool> alive_; ///< false once destroyed; held by callbacks
+    std::vector<store_row> pages_;
+    std::uint64_t read_revision_ = 0; ///< of the first page being read
+    std::uint64_t revision_ = 0;
+    bool needs_read_ = true;
+    bool reachable_ = true;
+    int failures_ = 0;
+};
+
+} // namespace vanillapost::io
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/placement/placement_request.hpp
@@ -0,0 +1,58 @@
+#ifndef VANILLAPOST_SRC_PLACEMENT_PLACEMENT_REQUEST_HPP
+#define VANILLAPOST_SRC_PLACEMENT_PLACEMENT_REQUEST_HPP
+
+#include "../base/identifier.hpp"
+#include "../base/time.hpp"
+
+#include <variant>
+#include <vector>
+
+namespace vanillapost {
+
+/// A request as the choice of its target sees it.
+struct placement_request
+{
+    service_id service;
+    duration expected_work{};     ///< on an idle target at the usual pace
+    double expected_kib = 1;      ///< size of request and answer together
+    bool repeatable = true;       ///< a lost answer can be asked for again
+    std::vector<target_id> tried; ///< that are not to be chosen again
+};
+
+/// Send it there. Takes the turn of a cold target.
+struct place_on
+{
+    target_id target;
+    duration expected{}; ///< until the answer is complete
+};
+
+/// Probe these first: what is known of them is old.
+struct measure_first
+{
+    std::vector<target_id> targets;
+};
+
+/// Every target that may be used has its slots full.
+struct no_room
+{
+    duration until_room{}; ///< estimate
+};
+
+/// No target can be used at all.
+struct no_target
+{
+};
+
+using placement_decision =
+    std::variant<place_on, measure_first, no_room, no_target>;
+
+/// How much may be done for a request before it is placed.
+struct placement_effort
+{
+    bool may_measure = true; ///< probes are still worth waiting for
+    bool may_queue = false;  ///< put it behind others at a full target
+};
+
+} // namespace vanillapost
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -0,0 +1,111 @@
+#ifndef VANILLAPOST_SRC_PLACEMENT_TARGET_PLACER_HPP
+#define VANILLAPOST_SRC_PLACEMENT_TARGET_PLACER_HPP
+
+#include "../base/random.hpp"
+#include "../targets/target_catalog.hpp"
+#include "cold_share.hpp"
+#include "placement_request.hpp"
+#include "target_knowledge.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+
+namespace vanillapost {
+
+struct placement_settings
+{
+    data_centre_id data_centre; ///< of this instance
+    entry_id self;
+    /// A report older than this is asked for anew before a request is placed.
+    duration fresh_report = std::chrono::milliseconds(60);
+    /// A target that was not probed for so long may have turned cold.
+    duration fresh_probe = std::chrono::milliseconds(400);
+    std::size_t probes_per_round = 3;
+    int probe_rounds = 2;
+    /// Requests that a target may have waiting, for each slot.
+    double queue_per_slot = 1;
+    /// What a round trip to another data centre adds.
+    duration remote_delay = std::chrono::milliseconds(4);
+    /// What a KiB from another data centre costs, as time that a caller would
+    /// wait to save it.
+    duration remote_delay_per_kib = std::chrono::milliseconds(5);
+    /// Use of slots above which a target slows down, and by how much.
+    double knee_use = 0.8;
+    double knee_factor = 1.7;
+    /// What a failed attempt costs, in service times.
+    double failure_cost_repeatable = 1.5;
+    double failure_cost_once = 6;
+};
+
+/// Chooses the target of each request.
+///
+/// A target that answers soon is one with a free slot on a machine that is
+/// not slowed down by others right now. Both change within milliseconds, so
+/// a few likely targets are probed just before the choice, unless their last
+/// answers told it already.
+class target_placer
+{
+public:
+    target_placer(placement_settings settings, random_engine random);
+
+    /// Takes over which targets may be used.
+    /// \param cold_rates  requests a second that a cold target of a service
+    ///                    bears
+    void update(const target_catalog& catalog,
+                const std::map<service_id, double>& cold_rates, time_point now);
+
+    /// The members among which cold targets are divided.
+    void set_members(std::vector<owner_candidate> members);
+
+    placement_decision choose(const placement_request& request,
+                              const placement_effort& effort, time_point now);
+
+    /// Knowledge of a target; nothing when it is not listed any more.
+    target_knowledge* find(const target_id& id);
+
+    /// Targets of a service that may be used.
+    std::size_t usable_targets(const service_id& service) const;
+
+private:
+    struct entry
+    {
+        listed_target record;
+        target_knowledge knowledge;
+        cold_pacer pacer;
+        double cold_rate = 0;
+        bool usable = false;
+        std::vector<entry_id> owners; ///< while it is cold
+    };
+
+    struct candidate
+    {
+        entry* target;
+        double cost;     ///< µs until the answer is complete, with all risks
+        double expected; ///< µs until the answer is complete
+        bool full;
+        bool measured;
+    };
+
+    std::vector<candidate> rank(const placement_request& request,
+                                time_point now);
+    candidate assess(entry& each, const placement_request& request,
+                     time_point now) const;
+    bool may_use(entry& each, const placement_request& request,
+                 time_point now) const;
+    bool owns(const entry& each) const;
+    std::vector<target_id> stale(std::span<const candidate> order) const;
+    std::vector<target_id> suspects(const placement_request& request,
+                                    time_point now) const;
+
+    placement_settings settings_;
+    random_engine random_;
+    std::map<target_id, entry> targets_;
+    std::map<service_id, std::vector<entry*>> services_;
+    std::vector<owner_candidate> members_;
+};
+
+} // namespace vanillapost
+
+#endif
--- /dev/null
+++ b/include/vanillapost/src/targets/target_catalog.hpp
@@ -0,0 +1,78 @@
+#ifndef VANILLAPOST_SRC_TARGETS_TARGET_CATALOG_HPP
+#define VANILLAPOST_SRC_TARGETS_TARGET_CATALOG_HPP
+
+#include "listed_target.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace vanillapost {
+
+struct target_catalog_settings
+{
+    /// How long targets may take to list themselves again after an outage of
+    /// the list, in which their entries lapsed although they live.
+    duration relist_window = std::chrono::milliseconds(2500);
+    /// How long a removal in that window is held back.
+    duration removal_delay = std::chrono::milliseconds(1700);
+};
+
+/// The targets that are listed, and which of them may get work.
+///
+/// Pattern it answers: the list is down, entries lapse, and as it returns all
+/// targets vanish for some seconds though they serve.
+class target_catalog
+{
+public:
+    explicit target_catalog(const target_catalog_settings& settings = {});
+
+    /// \return false for a report that is older than the one it would replace
+    bool put(listed_target record);
+
+    void remove(const target_id& id, time_point now);
+
+    /// A full reading of the list: what it does not name is removed.
+    void replace(std::vector<listed_target> records, time_point now);
+
+    /// The list answers again after an outage.
+    void on_list_back(time_point now);
+
+    /// Takes a data centre out, or back in. Its targets get no work while it
+    /// is out.
+    void set_evacuated(std::set<data_centre_id> data_centres);
+
+    /// Carries out the removals that are due; returns whether there were any.
+    bool advance(time_point now);
+
+    /// When `advance` has something to do.
+    std::optional<time_point> next_removal() const;
+
+    const listed_target* find(const target_id& id) const;
+
+    /// Whether the target may get work: listed, not draining, and its data
+    /// centre not taken out.
+    bool is_usable(const listed_target& record) const;
+
+    const std::map<target_id, listed_target>& all() const
+    {
+        return records_;
+    }
+
+    const std::set<data_centre_id>& evacuated() const
+    {
+        return evacuated_;
+    }
+
+private:
+    target_catalog_settings settings_;
+    std::map<target_id, listed_target> records_;
+    std::map<target_id, time_point> removals_; ///< when each is due
+    std::set<data_centre_id> evacuated_;
+    std::optional<time_point> list_back_;
+};
+
+} // namespace vanillapost
+
+#endif
--- /dev/null
+++ b/include/vanillapost/targets.hpp
@@ -0,0 +1,9 @@
+#ifndef VANILLAPOST_TARGETS_HPP
+#define VANILLAPOST_TARGETS_HPP
+
+/// Umbrella header of the targets module: the targets that the platform lists.
+
+#include "src/targets/listed_target.hpp"
+#include "src/targets/target_catalog.hpp"
+
+#endif
--- /dev/null
+++ b/src/io/caller_connection.cpp
@@ -0,0 +1,317 @@
+#include "vanillapost/src/io/detail/caller_connection.hpp"
+
+#include "vanillapost/src/io/detail/socket.hpp"
+
+#include <algorithm>
+#include <array>
+#include <event2/event.h>
+
+namespace vanillapost::io::detail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Callers reuse connections for a part of the idle time-out; this keeps our
+/// close clear of their last use.
+constexpr duration idle_slack = 500ms;
+/// How long a connection that we have closed may go on sending. Closing it
+/// with bytes unread would reset it and lose the answer on its way.
+constexpr duration linger = 1s;
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_too_large = 413;
+constexpr int status_headers_too_large = 431;
+
+constexpr std::array<std::string_view, 8> hop_headers = {
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+    "TE",         "Trailer",    "Upgrade",           "Proxy-Connection"};
+
+bool is_hop_header(std::string_view name)
+{
+    return std::ranges::any_of(hop_headers, [&](std::string_view each) {
+        return same_header_name(each, name);
+    });
+}
+
+caller_connection& connection_of(void* self)
+{
+    return *static_cast<caller_connection*>(self);
+}
+
+} // namespace
+
+std::string format_answer_head(int status, const header_list& headers,
+                               std::string_view framing, bool close)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' +
+                       http_status_str(static_cast<http_status>(status)) +
+                       "\r\n";
+    for (const auto& field : headers) {
+        if (is_hop_header(field.name))
+            continue;
+        text += field.name;
+        text += ": ";
+        text += field.value;
+        text += "\r\n";
+    }
+    text += framing;
+    if (close)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    return text;
+}
+
+caller_connection::caller_connection(connection_host& host,
+                                     evutil_socket_t socket)
+    : host_(host),
+      reader_(message_side::request,
+              {[this](message_head&& head) { take_head(std::move(head)); },
+               [this](std::string_view bytes) { take_body(bytes); },
+               [this] { take_request(); }}),
+      idle_since_(host.loop->now())
+{
+    set_no_delay(socket);
+    stream_.reset(bufferevent_socket_new(host.loop->base(), socket,
+                                         BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(stream_.get(), &on_readable, &on_written, &on_event,
+                      this);
+    reader_.set_max_header_bytes(host.limits.max_header_bytes);
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+}
+
+caller_connection::~caller_connection() = default;
+
+void caller_connection::on_readable(bufferevent*, void* self)
+{
+    connection_of(self).read_requests();
+}
+
+void caller_connection::on_written(bufferevent*, void* self)
+{
+    auto& connection = connection_of(self);
+    if (connection.closing_ && connection.slots_.empty())
+        connection.close_gracefully();
+}
+
+void caller_connection::on_event(bufferevent*, short what, void* self)
+{
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+        connection_of(self).end();
+}
+
+void caller_connection::read_requests()
+{
+    if (reading_)
+        return;
+    reading_ = true;
+    evbuffer* input = bufferevent_get_input(stream_.get());
+    while (!ended_ && evbuffer_get_length(input) > 0) {
+        if (closing_) {
+            evbuffer_drain(input, evbuffer_get_length(input));
+            break;
+        }
+        if (slots_.size() >= host_.limits.max_pipelined)
+            break;
+        if (!reader_.in_message()) {
+            reader_.set_max_header_bytes(host_.limits.max_header_bytes);
+            message_since_ = host_.loop->now();
+            headers_read_ = false;
+        }
+        evbuffer_iovec piece{};
+        evbuffer_peek(input, -1, nullptr, &piece, 1);
+        std::size_t used = 0;
+        const auto result = reader_.read(
+            {static_cast<const char*>(piece.iov_base), piece.iov_len}, used);
+        evbuffer_drain(input, used);
+        if (body_too_large_)
+            refuse(status_too_large, "the body is larger than allowed");
+        else if (result == read_result::malformed)
+            refuse(status_bad_request, "not an HTTP/1.1 request");
+        else if (result == read_result::headers_too_large)
+            refuse(status_headers_too_large, "the headers are too large");
+    }
+    reading_ = false;
+}
+
+void caller_connection::take_head(message_head&& head)
+{
+    headers_read_ = true;
+    incoming_ = std::make_unique<caller_slot>();
+    incoming_->connection = this;
+    incoming_->keep_alive = head.keep_alive;
+    incoming_->method = head.method;
+    incoming_->request.method = std::move(head.method);
+    incoming_->request.target = std::move(head.target);
+    incoming_->request.headers = std::move(head.headers);
+    const auto expect = find_header(incoming_->request.headers, "Expect");
+    if (expect && slots_.empty()) {
+        constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        bufferevent_write(stream_.get(), go_on.data(), go_on.size());
+    }
+}
+
+void caller_connection::take_body(std::string_view bytes)
+{
+    auto& body = incoming_->request.body;
+    if (body.size() + bytes.size() > host_.limits.max_body_bytes)
+        body_too_large_ = true;
+    else
+        body.append(bytes);
+}
+
+void caller_connection::take_request()
+{
+    if (body_too_large_)
+        return;
+    slots_.push_back(std::move(incoming_));
+    auto& slot = *slots_.back();
+    if (!slot.keep_alive)
+        closing_ = true;
+    ++host_.in_flight;
+    auto exchange = std::make_unique<caller_exchange>(slot);
+    slot.owner = exchange.get();
+    host_.handle(std::move(exchange));
+}
+
+// Answers of earlier requests still go out; what follows is not read.
+void caller_connection::refuse(int status, std::string_view reason)
+{
+    closing_ = true;
+    auto slot = std::make_unique<caller_slot>();
+    const std::string body = std::string(reason) + '\n';
+    slot->held = format_answer_head(
+        status, {{"Content-Type", "text/plain"}},
+        "Content-Length: " + std::to_string(body.size()) + "\r\n", true);
+    slot->held += body;
+    slot->finished = true;
+    ++host_.in_flight;
+    slots_.push_back(std::move(slot));
+    flush();
+}
+
+bool caller_connection::says_close(const caller_slot& slot) const
+{
+    if (!slot.keep_alive)
+        return true;
+    const bool last = !slots_.empty() && slots_.back().get() == &slot;
+    return host_.closing && last && !reader_.in_message();
+}
+
+void caller_connection::send(caller_slot& slot, std::string_view bytes)
+{
+    if (slots_.front().get() != &slot || !slot.held.empty()) {
+        slot.held.append(bytes);
+        return;
+    }
+    bufferevent_write(stream_.get(), bytes.data(), bytes.size());
+}
+
+void caller_connection::finish(caller_slot& slot)
+{
+    slot.finished = true;
+    flush();
+}
+
+void caller_connection::flush()
+{
+    while (!slots_.empty()) {
+        auto& front = *slots_.front();
+        if (!front.held.empty()) {
+            bufferevent_write(stream_.get(), front.held.data(),
+                              front.held.size());
+            front.held.clear();
+        }
+        if (!front.finished)
+            return;
+        const bool last = !front.keep_alive;
+        slots_.pop_front();
+        --host_.in_flight;
+        if (last) {
+            closing_ = true;
+            drop_slots();
+        }
+    }
+    idle_since_ = host_.loop->now();
+    if (closing_) {
+        close_gracefully();
+        return;
+    }
+    // Requests may have waited for room in the pipeline.
+    if (!reading_ &&
+        evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0)
+        bufferevent_trigger(stream_.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void caller_connection::close_gracefully()
+{
+    closing_ = true;
+    if (wrote_close_ || ended_)
+        return;
+    if (evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0)
+        return; // called again once it is written
+    wrote_close_ = true;
+    closing_since_ = host_.loop->now();
+    ::shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
+}
+
+void caller_connection::break_off()
+{
+    if (!ended_)
+        end();
+}
+
+void caller_connection::end()
+{
+    if (ended_)
+        return;
+    ended_ = true;
+    bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
+    drop_slots();
+    host_.ended(*this);
+}
+
+// Requests that get no answer here: the connection ends before their turn.
+void caller_connection::drop_slots()
+{
+    auto slots = std::move(slots_);
+    slots_.clear();
+    host_.in_flight -= slots.size();
+    for (auto& slot : slots)
+        slot->connection = nullptr;
+    for (auto& slot : slots)
+        if (slot->owner)
+            caller_slot::notify_gone(*slot->owner);
+    // Owners that are still there keep no pointer to what is destroyed here.
+    for (auto& slot : slots)
+        slot->owner = nullptr;
+}
+
+std::size_t caller_connection::pending_bytes(const caller_slot& slot) const
+{
+    return slot.held.size() +
+           evbuffer_get_length(bufferevent_get_output(stream_.get()));
+}
+
+void caller_connection::close_if_idle()
+{
+    if (slots_.empty() && !reader_.in_message() && !closing_)
+        close_gracefully();
+}
+
+void caller_connection::check_time(time_point now)
+{
+    if (wrote_close_) {
+        if (now - closing_since_ > linger)
+            end();
+        return;
+    }
+    if (reader_.in_message() && !headers_read_ &&
+        now - message_since_ > host_.limits.header_timeout)
+        refuse(status_timeout, "the headers took too long");
+    if (slots_.empty() &&
+        now - idle_since_ > host_.limits.idle_timeout + idle_slack)
+        close_gracefully();
+}
+
+} // namespace vanillapost::io::detail
--- /dev/null
+++ b/src/io/caller_server.cpp
@@ -0,0 +1,242 @@
+#include "vanillapost/src/io/caller_server.hpp"
+
+#include "vanillapost/src/base/error.hpp"
+#include "vanillapost/src/io/detail/caller_connection.hpp"
+#include "vanillapost/src/io/detail/socket.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <event2/listener.h>
+#include <utility>
+
+namespace vanillapost::io {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int listen_backlog = 1024;
+constexpr duration sweep_interval = 500ms;
+constexpr int first_final_status = 200;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+bool has_body(std::string_view method, int status)
+{
+    return method != "HEAD" && status >= first_final_status &&
+           status != status_no_content && status != status_not_modified;
+}
+
+std::string length_line(std::uint64_t length)
+{
+    return "Content-Length: " + std::to_string(length) + "\r\n";
+}
+
+} // namespace
+
+void detail::caller_slot::notify_gone(caller_exchange& owner)
+{
+    // Both are let go of first: the handler may destroy the exchange.
+    owner.slot_ = nullptr;
+    auto handler = std::exchange(owner.gone_, nullptr);
+    if (handler)
+        handler();
+}
+
+caller_exchange::caller_exchange(detail::caller_slot& slot) : slot_(&slot)
+{
+}
+
+caller_exchange::~caller_exchange()
+{
+    if (!slot_)
+        return;
+    slot_->owner = nullptr;
+    if (slot_->connection && !slot_->finished)
+        slot_->connection->break_off();
+}
+
+http_request caller_exchange::take_request()
+{
+    assert(slot_);
+    return std::move(slot_->request);
+}
+
+void caller_exchange::on_gone(std::function<void()> handler)
+{
+    gone_ = std::move(handler);
+}
+
+void caller_exchange::reply(int status, const header_list& headers,
+                            std::string_view body)
+{
+    if (!slot_)
+        return;
+    const bool with_body = has_body(slot_->method, status);
+    auto& connection = *slot_->connection;
+    std::string bytes = detail::format_answer_head(
+        status, headers, with_body ? length_line(body.size()) : std::string(),
+        connection.says_close(*slot_));
+    if (with_body)
+        bytes.append(body);
+    if (connection.says_close(*slot_))
+        slot_->keep_alive = false;
+    connection.send(*slot_, bytes);
+    finish();
+}
+
+void caller_exchange::begin(int status, const header_list& headers,
+                            std::optional<std::uint64_t> length)
+{
+    if (!slot_)
+        return;
+    slot_->chunked = !length;
+    auto& connection = *slot_->connection;
+    const bool close = connection.says_close(*slot_);
+    if (close)
+        slot_->keep_alive = false;
+    connection.send(*slot_, detail::format_answer_head(
+                                status, headers,
+                                length ? length_line(*length)
+                                       : "Transfer-Encoding: chunked\r\n",
+                                close));
+}
+
+void caller_exchange::write(std::string_view data)
+{
+    if (!slot_ || data.empty())
+        return;
+    auto& connection = *slot_->connection;
+    if (!slot_->chunked) {
+        connection.send(*slot_, data);
+        return;
+    }
+    char size[24];
+    const int digits = std::snprintf(size, sizeof size, "%zx\r\n", data.size());
+    std::string chunk(size, static_cast<std::size_t>(digits));
+    chunk.append(data);
+    chunk += "\r\n";
+    connection.send(*slot_, chunk);
+}
+
+void caller_exchange::finish()
+{
+    if (!slot_)
+        return;
+    auto* slot = std::exchange(slot_, nullptr);
+    if (slot->chunked)
+        slot->connection->send(*slot, "0\r\n\r\n");
+    slot->owner = nullptr;
+    slot->connection->finish(*slot);
+}
+
+std::size_t caller_exchange::pending_bytes() const
+{
+    return slot_ ? slot_->connection->pending_bytes(*slot_) : 0;
+}
+
+struct caller_server::state
+{
+    detail::connection_host host;
+    std::vector<std::unique_ptr<detail::caller_connection>> connections;
+    std::unique_ptr<evconnlistener, decltype(&evconnlistener_free)> listener{
+        nullptr, &evconnlistener_free};
+    timer sweep;
+
+    state(event_loop& loop, caller_server_limits limits, handler handle)
+        : sweep(loop, [this] { check_time(); })
+    {
+        host.loop = &loop;
+        host.limits = limits;
+        host.handle = std::move(handle);
+        host.ended = [this](detail::caller_connection& each) { drop(each); };
+        sweep.start_every(sweep_interval);
+    }
+
+    static void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*,
+                          int, void* self)
+    {
+        static_cast<state*>(self)->accept(socket);
+    }
+
+    void accept(evutil_socket_t socket)
+    {
+        if (connections.size() >= host.limits.max_connections) {
+            evutil_closesocket(socket);
+            return;
+        }
+        connections.push_back(
+            std::make_unique<detail::caller_connection>(host, socket));
+    }
+
+    void drop(detail::caller_connection& ended)
+    {
+        const auto found = std::ranges::find(
+            connections, &ended, [](const auto& each) { return each.get(); });
+        if (found == connections.end())
+            return;
+        host.loop->dispose(std::move(*found));
+        *found = std::move(connections.back());
+        connections.pop_back();
+    }
+
+    // Connections may end on the way, which moves the last one.
+    void check_time()
+    {
+        const auto now = host.loop->now();
+        for (std::size_t i = connections.size(); i-- > 0;)
+            if (i < connections.size())
+                connections[i]->check_time(now);
+    }
+};
+
+caller_server::caller_server(event_loop& loop, caller_server_limits limits,
+                             handler handle)
+    : state_(std::make_unique<state>(loop, limits, std::move(handle)))
+{
+}
+
+caller_server::~caller_server() = default;
+
+address caller_server::listen(const address& where)
+{
+    auto local = detail::to_socket_address(where);
+    state_->listener.reset(evconnlistener_new_bind(
+        state_->host.loop->base(), &state::on_accept, state_.get(),
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+        listen_backlog, local.get(), local.length));
+    if (!state_->listener)
+        throw error("listen", to_string(where), detail::last_error_text());
+    return detail::local_address(evconnlistener_get_fd(state_->listener.get()));
+}
+
+void caller_server::set_limits(const caller_server_limits& limits)
+{
+    state_->host.limits = limits;
+}
+
+void caller_server::announce_close()
+{
+    state_->host.closing = true;
+}
+
+void caller_server::stop_accepting()
+{
+    state_->host.closing = true;
+    state_->listener.reset();
+    for (std::size_t i = state_->connections.size(); i-- > 0;)
+        if (i < state_->connections.size())
+            state_->connections[i]->close_if_idle();
+}
+
+std::size_t caller_server::in_flight() const
+{
+    return state_->host.in_flight;
+}
+
+std::size_t caller_server::connections() const
+{
+    return state_->connections.size();
+}
+
+} // namespace vanillapost::io
--- a/src/io/client_connection.cpp
+++ b/src/io/client_connection.cpp
@@ -136,6 +136,8 @@
     if (what & BEV_EVENT_CONNECTED) {
         connected_ = true;
         set_no_delay(bufferevent_getfd(stream_));
+        if (limits_.keep_alive_probes)
+            set_keep_alive_probes(bufferevent_getfd(stream_));
         return;
     }
     refused_ = (what & BEV_EVENT_ERROR) &&
--- /dev/null
+++ b/src/io/http1_reader.cpp
@@ -0,0 +1,165 @@
+#include "vanillapost/src/io/detail/http1_reader.hpp"
+
+#include <climits>
+
+namespace vanillapost::io::detail {
+
+namespace {
+
+constexpr int stop_parsing = -1;
+constexpr int skip_body = 1;
+// The parser's own limit counts for all connections of a process; the limit
+// of one connection is checked here.
+constexpr std::uint32_t parser_header_limit = 1024 * 1024;
+constexpr int first_final_status = 200;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+// An answer with a body of which no header tells the end.
+bool lasts_until_close(const http_parser& parser)
+{
+    const auto status = static_cast<int>(parser.status_code);
+    const bool has_body =
+        parser.type == HTTP_RESPONSE && status >= first_final_status &&
+        status != status_no_content && status != status_not_modified;
+    return has_body && !(parser.flags & F_CHUNKED) &&
+           parser.content_length == ULLONG_MAX;
+}
+
+} // namespace
+
+http1_reader::http1_reader(message_side side, message_handlers handlers)
+    : handlers_(std::move(handlers))
+{
+    http_parser_set_max_header_size(parser_header_limit);
+    http_parser_init(&parser_, side == message_side::request ? HTTP_REQUEST
+                                                             : HTTP_RESPONSE);
+    parser_.data = this;
+}
+
+read_result http1_reader::read(std::string_view bytes, std::size_t& used)
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_message_begin = &on_begin;
+        made.on_url = &on_url;
+        made.on_header_field = &on_field;
+        made.on_header_value = &on_value;
+        made.on_headers_complete = &on_headers;
+        made.on_body = &on_body;
+        made.on_message_complete = &on_complete;
+        return made;
+    }();
+    complete_ = false;
+    used = http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+    if (complete_) {
+        http_parser_pause(&parser_, 0);
+        return read_result::complete;
+    }
+    if (headers_too_large_)
+        return read_result::headers_too_large;
+    const bool failed = HTTP_PARSER_ERRNO(&parser_) != HPE_OK ||
+                        parser_.upgrade || used != bytes.size();
+    return failed ? read_result::malformed : read_result::need_more;
+}
+
+bool http1_reader::finish()
+{
+    if (!in_message_)
+        return true;
+    std::size_t used = 0;
+    return read({}, used) == read_result::complete;
+}
+
+http1_reader& http1_reader::self(http_parser* parser)
+{
+    return *static_cast<http1_reader*>(parser->data);
+}
+
+int http1_reader::on_begin(http_parser* parser)
+{
+    auto& reader = self(parser);
+    reader.head_ = {};
+    reader.header_bytes_ = 0;
+    reader.in_value_ = true;
+    reader.in_message_ = true;
+    reader.headers_done_ = false;
+    return 0;
+}
+
+bool http1_reader::count_header(std::size_t bytes)
+{
+    header_bytes_ += bytes;
+    headers_too_large_ = header_bytes_ > max_header_bytes_;
+    return !headers_too_large_;
+}
+
+int http1_reader::on_url(http_parser* parser, const char* at,
+                         std::size_t length)
+{
+    auto& reader = self(parser);
+    reader.head_.target.append(at, length);
+    return reader.count_header(length) ? 0 : stop_parsing;
+}
+
+int http1_reader::on_field(http_parser* parser, const char* at,
+                           std::size_t length)
+{
+    auto& reader = self(parser);
+    if (reader.headers_done_)
+        return 0; // a trailer
+    if (reader.in_value_)
+        reader.head_.headers.emplace_back();
+    reader.in_value_ = false;
+    reader.head_.headers.back().name.append(at, length);
+    return reader.count_header(length) ? 0 : stop_parsing;
+}
+
+int http1_reader::on_value(http_parser* parser, const char* at,
+                           std::size_t length)
+{
+    auto& reader = self(parser);
+    if (reader.headers_done_)
+        return 0;
+    reader.in_value_ = true;
+    reader.head_.headers.back().value.append(at, length);
+    return reader.count_header(length) ? 0 : stop_parsing;
+}
+
+int http1_reader::on_headers(http_parser* parser)
+{
+    auto& reader = self(parser);
+    reader.headers_done_ = true;
+    auto& head = reader.head_;
+    head.status = static_cast<int>(parser->status_code);
+    if (parser->type == HTTP_REQUEST)
+        head.method = http_method_str(static_cast<http_method>(parser->method));
+    head.keep_alive = http_should_keep_alive(parser) != 0;
+    head.ends_with_connection = lasts_until_close(*parser);
+    const bool interim =
+        parser->type == HTTP_RESPONSE && head.status < first_final_status;
+    const bool no_body = reader.no_body_ && !interim;
+    reader.handlers_.on_head(std::move(head));
+    return no_body ? skip_body : 0;
+}
+
+int http1_reader::on_body(http_parser* parser, const char* at,
+                          std::size_t length)
+{
+    self(parser).handlers_.on_body({at, length});
+    return 0;
+}
+
+int http1_reader::on_complete(http_parser* parser)
+{
+    auto& reader = self(parser);
+    reader.in_message_ = false;
+    reader.complete_ = true;
+    // Bytes behind a message are for the next call.
+    http_parser_pause(parser, 1);
+    reader.handlers_.on_complete();
+    return 0;
+}
+
+} // namespace vanillapost::io::detail
--- a/src/io/socket.cpp
+++ b/src/io/socket.cpp
@@ -34,6 +34,23 @@
     ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+void set_keep_alive_probes(evutil_socket_t socket)
+{
+    int on = 1;
+    int idle_s = 1;
+    int interval_s = 1;
+    int lost_probes = 2;
+    unsigned int unacknowledged_ms = 2500;
+    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+                 sizeof interval_s);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &lost_probes,
+                 sizeof lost_probes);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+                 sizeof unacknowledged_ms);
+}
+
 address local_address(evutil_socket_t socket)
 {
     sockaddr_storage storage{};
--- /dev/null
+++ b/src/io/table_follower.cpp
@@ -0,0 +1,123 @@
+#include "vanillapost/src/io/table_follower.hpp"
+
+#include <algorithm>
+
+namespace vanillapost::io {
+
+table_follower::table_follower(event_loop& loop, row_store& store,
+                               std::string table,
+                               table_follower_settings settings,
+                               random_engine random,
+                               table_follower_handlers handlers)
+    : loop_(loop), store_(store), table_(std::move(table)), settings_(settings),
+      random_(random), handlers_(std::move(handlers)),
+      timer_(loop, [this] { next(); }), alive_(std::make_shared<bool>(true))
+{
+}
+
+table_follower::~table_follower()
+{
+    *alive_ = false;
+}
+
+void table_follower::start()
+{
+    next();
+}
+
+void table_follower::next()
+{
+    if (!needs_read_) {
+        follow();
+        return;
+    }
+    pages_.clear();
+    read_revision_ = 0;
+    read_page("");
+}
+
+void table_follower::read_page(std::string first_key)
+{
+    store_.read(table_, first_key, [this, alive = alive_](store_result result) {
+        if (*alive)
+            take_page(std::move(result));
+    });
+}
+
+void table_follower::take_page(store_result result)
+{
+    if (const auto* failure = std::get_if<store_failure>(&result)) {
+        on_failure(*failure);
+        return;
+    }
+    auto& page = std::get<store_rows>(result);
+    // Later pages are of a later moment: changes since the first are read
+    // again from the feed.
+    if (read_revision_ == 0)
+        read_revision_ = page.revision;
+    std::ranges::move(page.rows, std::back_inserter(pages_));
+    if (page.more && !pages_.empty()) {
+        read_page(pages_.back().key + '\0');
+        return;
+    }
+    on_answer();
+    needs_read_ = false;
+    revision_ = std::max(revision_, read_revision_);
+    handlers_.on_read(pages_);
+    pages_.clear();
+    follow();
+}
+
+void table_follower::follow()
+{
+    store_.follow(table_, revision_, settings_.longest_wait,
+                  [this, alive = alive_](store_result result) {
+                      if (*alive)
+                          take_changes(std::move(result));
+                  });
+}
+
+void table_follower::take_changes(store_result result)
+{
+    if (const auto* failure = std::get_if<store_failure>(&result)) {
+        needs_read_ = failure->kind == store_failure_kind::history_lost;
+        on_failure(*failure);
+        return;
+    }
+    on_answer();
+    const auto& changes = std::get<store_rows>(result);
+    revision_ = std::max(revision_, changes.revision);
+    if (!changes.rows.empty())
+        handlers_.on_changed(changes.rows);
+    timer_.start_once(settings_.batch_delay);
+}
+
+void table_follower::on_answer()
+{
+    failures_ = 0;
+    if (reachable_)
+        return;
+    reachable_ = true;
+    handlers_.on_back();
+}
+
+void table_follower::on_failure(const store_failure& failure)
+{
+    const bool outage = failure.kind != store_failure_kind::history_lost;
+    if (outage && reachable_) {
+        reachable_ = false;
+        handlers_.on_lost(failure);
+    }
+    constexpr int max_doublings = 5;
+    const auto delay = std::min(settings_.first_retry *
+                                    (1 << std::min(failures_, max_doublings)),
+                                settings_.longest_retry);
+    if (outage)
+        ++failures_;
+    // Spread over half of the delay, so that instances do not call together.
+    const auto half = std::max<std::int64_t>(delay.count() / 2, 1);
+    const auto spread = duration(static_cast<std::int64_t>(random_()) % half);
+    timer_.start_once(outage ? delay / 2 + spread : spread / 4);
+}
+
+} // namespace vanillapost::io
--- /dev/null
+++ b/src/targets/target_catalog.cpp
@@ -0,0 +1,106 @@
+#include "vanillapost/src/targets/target_catalog.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace vanillapost {
+
+target_catalog::target_catalog(const target_catalog_settings& settings)
+    : settings_(settings)
+{
+}
+
+namespace {
+
+// A write that was delayed may replace a newer one in the list.
+bool is_older(const listed_target& one, const listed_target& other)
+{
+    return std::tie(one.born_ms, one.sequence) <
+           std::tie(other.born_ms, other.sequence);
+}
+
+} // namespace
+
+bool target_catalog::put(listed_target record)
+{
+    auto [stored, added] = records_.try_emplace(record.id, record);
+    if (!added && is_older(record, stored->second))
+        return false;
+    removals_.erase(record.id);
+    stored->second = std::move(record);
+    return true;
+}
+
+void target_catalog::remove(const target_id& id, time_point now)
+{
+    const bool relisting =
+        list_back_ && now < *list_back_ + settings_.relist_window;
+    if (!relisting) {
+        records_.erase(id);
+        removals_.erase(id);
+    } else if (records_.contains(id)) {
+        removals_.emplace(id, now + settings_.removal_delay);
+    }
+}
+
+void target_catalog::replace(std::vector<listed_target> records, time_point now)
+{
+    std::set<target_id> listed;
+    for (auto& record : records) {
+        listed.insert(record.id);
+        put(std::move(record));
+    }
+    std::vector<target_id> gone;
+    for (const auto& [id, record] : records_)
+        if (!listed.contains(id))
+            gone.push_back(id);
+    for (const auto& id : gone)
+        remove(id, now);
+}
+
+void target_catalog::on_list_back(time_point now)
+{
+    list_back_ = now;
+}
+
+void target_catalog::set_evacuated(std::set<data_centre_id> data_centres)
+{
+    evacuated_ = std::move(data_centres);
+}
+
+bool target_catalog::advance(time_point now)
+{
+    bool removed = false;
+    for (auto each = removals_.begin(); each != removals_.end();) {
+        if (each->second > now) {
+            ++each;
+            continue;
+        }
+        records_.erase(each->first);
+        each = removals_.erase(each);
+        removed = true;
+    }
+    return removed;
+}
+
+std::optional<time_point> target_catalog::next_removal() const
+{
+    if (removals_.empty())
+        return std::nullopt;
+    return std::ranges::min_element(
+               removals_, {}, [](const auto& each) { return each.second; })
+        ->second;
+}
+
+const listed_target* target_catalog::find(const target_id& id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+bool target_catalog::is_usable(const listed_target& record) const
+{
+    return !record.draining && !evacuated_.contains(record.data_centre);
+}
+
+} // namespace vanillapost
