Mend a dangling probe and a hang at exit; tests for the new modules

After `stopped` a process stayed until it was killed: static destructors of log4cplus wait for its worker threads. An exchange that outlasted its server pointed to a destroyed slot.

Ruled out: the exit margin (the logs show `stopped` 2.6 s after SIGTERM).

Change: the probe's call goes first; the router ends with _Exit once its loop has ended; the server breaks its connections off before it is destroyed; the pool of a target that has moved is kept until its calls have ended. After an outage the store is asked with short waits, and only the table of targets opens the window in which targets list themselves again.

--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -6,6 +6,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -35,7 +36,7 @@
     return (std::uint64_t{device()} << 32) | device();
 }
 
-int run(const router::router_settings& settings)
+void run(const router::router_settings& settings)
 {
     io::start_log("vanillapost-router", settings.name, settings.log_level);
     io::event_loop loop;
@@ -48,7 +49,6 @@
     loop.on_signal(SIGHUP, [] { io::log(io::log_level::info, "reload"); });
     server.start();
     loop.run();
-    return 0;
 }
 
 } // namespace
@@ -69,8 +69,12 @@
     try {
         const auto settings =
             router::parse_router_settings(read_file(file), file);
-        if (!check)
-            return run(settings);
+        if (!check) {
+            run(settings);
+            // Destructors of static objects would wait for threads of
+            // log4cplus that have nothing to do.
+            std::_Exit(0);
+        }
         std::cout << file << ": good\n";
         return 0;
     } catch (const field_error& failure) {
--- a/apps/router/prober.cpp
+++ b/apps/router/prober.cpp
@@ -121,15 +121,13 @@
     end(target);
 }
 
-// The probe's own timer or call may be on the stack.
+// Handlers of the call refer to the probe: both go together.
 void prober::end(const target_id& target)
 {
     auto ended = probes_.extract(target);
-    const auto waiters = std::move(ended.mapped().waiters);
-    auto rest = std::make_shared<probe>(std::move(ended.mapped()));
-    loop_.post([rest] {});
-    for (const auto waiter : waiters)
-        done_(waiter, target);
+    ended.mapped().call.reset();
+    for (const auto waiter : ended.mapped().waiters)
+        done_(waiter, ended.key());
 }
 
 } // namespace vanillapost::router
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -65,10 +65,11 @@
                 (this->*changed)(row);
         (this->*finished)();
     };
-    handlers.on_lost = [this](const io::store_failure& failure) {
-        on_lost(failure);
+    handlers.on_lost = [this, name](const io::store_failure& failure) {
+        log_.state(io::log_level::warning, "store_lost",
+                   {{"table", name}, {"reason", failure.what}});
     };
-    handlers.on_back = [this] { on_back(); };
+    handlers.on_back = [this, name] { on_back(name); };
     io::table_follower_settings settings;
     if (name == language_.rows.member_table)
         settings.batch_delay = member_batch;
@@ -276,16 +277,11 @@
     }
 }
 
-void state_controller::on_lost(const io::store_failure& failure)
+void state_controller::on_back(const std::string& table)
 {
-    log_.state(io::log_level::warning, "store_lost",
-               {{"reason", failure.what}});
-}
-
-void state_controller::on_back()
-{
-    known_.targets.on_list_back(loop_.now());
-    log_.state(io::log_level::info, "store_back");
+    if (table == language_.rows.target_table)
+        known_.targets.on_list_back(loop_.now());
+    log_.state(io::log_level::info, "store_back", {{"table", table}});
 }
 
 void state_controller::report(const char* what, const std::string& key,
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state_controller.hpp
@@ -58,8 +58,7 @@
     void finish_member_rows();
     void apply_removals();
     void register_self();
-    void on_lost(const io::store_failure& failure);
-    void on_back();
+    void on_back(const std::string& table);
     void report(const char* what, const std::string& key, const error& failure);
 
     io::event_loop& loop_;
--- a/apps/router/target_connections.cpp
+++ b/apps/router/target_connections.cpp
@@ -31,6 +31,8 @@
     auto& found = pools_[target.id];
     if (found.pool && found.address == target.address)
         return *found.pool;
+    if (found.pool)
+        retired_.push_back(std::move(found.pool));
     io::target_pool_settings settings;
     settings.id_header = language_.headers.attempt_id;
     settings.max_connections = connection_limit(target);
@@ -56,6 +58,11 @@
 void target_connections::sweep()
 {
     const auto now = loop_.now();
+    for (auto& pool : retired_)
+        pool->sweep(now);
+    std::erase_if(retired_, [](const auto& pool) {
+        return pool->open_connections() == 0;
+    });
     for (auto each = pools_.begin(); each != pools_.end();) {
         each->second.pool->sweep(now);
         const bool listed = known_.targets.find(each->first) != nullptr;
--- a/apps/router/target_connections.hpp
+++ b/apps/router/target_connections.hpp
@@ -37,6 +37,8 @@
     const knowledge& known_;
     const platform_language& language_;
     std::map<target_id, entry> pools_;
+    /// Of targets that have moved, with calls that still run.
+    std::vector<std::unique_ptr<io::target_pool>> retired_;
     io::timer sweep_timer_;
 };
 
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -196,7 +196,12 @@
 {
 }
 
-caller_server::~caller_server() = default;
+caller_server::~caller_server()
+{
+    // Exchanges may outlast the server.
+    while (!state_->connections.empty())
+        state_->connections.back()->break_off();
+}
 
 address caller_server::listen(const address& where)
 {
--- a/src/io/table_follower.cpp
+++ b/src/io/table_follower.cpp
@@ -70,7 +70,10 @@
 
 void table_follower::follow()
 {
-    store_.follow(table_, revision_, settings_.longest_wait,
+    // After an outage a short wait shows soon that it is over.
+    const auto wait =
+        reachable_ ? settings_.longest_wait : settings_.first_retry;
+    store_.follow(table_, revision_, wait,
                   [this, alive = alive_](store_result result) {
                       if (*alive)
                           take_changes(std::move(result));
--- /dev/null
+++ b/test/attempts.cpp
@@ -0,0 +1,189 @@
+#include "vanillapost/attempts.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace vanillapost;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<attempt_outcome> outcomes = {
+    attempt_not_sent{"refused"}, attempt_refused{503}, attempt_misdirected{},
+    attempt_answered{200},       attempt_answered{500}, attempt_lost{"reset"}};
+
+template <class Step>
+bool is(const attempt_step& step)
+{
+    return std::holds_alternative<Step>(step);
+}
+
+/// What happened at the targets, kept apart from the ledger that is checked.
+struct truth
+{
+    int may_have_run = 0;
+    int running_at_once = 0;
+};
+
+/// Plays every order of starts, ends and giving up to a depth.
+struct explorer
+{
+    bool repeatable;
+    int max_attempts;
+    int states = 0;
+
+    void explore(const attempt_ledger& ledger, truth known, int depth)
+    {
+        ++states;
+        check(ledger, known);
+        if (depth == 0)
+            return;
+        if (ledger.may_start()) {
+            auto next = ledger;
+            next.on_started();
+            auto after = known;
+            ++after.running_at_once;
+            explore(next, after, depth - 1);
+        }
+        if (known.running_at_once == 0)
+            return;
+        for (const auto& outcome : outcomes)
+            for (const bool budget : {false, true})
+                end(ledger, known, outcome, budget, depth);
+        auto abandoned = ledger;
+        abandoned.on_abandoned();
+        auto after = known;
+        --after.running_at_once;
+        ++after.may_have_run;
+        explore(abandoned, after, depth - 1);
+    }
+
+    void end(const attempt_ledger& ledger, truth known,
+             const attempt_outcome& outcome, bool budget, int depth)
+    {
+        auto next = ledger;
+        const auto step = next.on_ended(outcome, budget);
+        --known.running_at_once;
+        known.may_have_run += may_have_run(outcome);
+        const bool ran = known.may_have_run + known.running_at_once > 0;
+        if (is<step_refuse>(step))
+            EXPECT_FALSE(ran) << "refused as not run though it may have";
+        if (is<step_repeat>(step)) {
+            EXPECT_TRUE(repeatable || !ran) << "may run twice";
+            EXPECT_TRUE(next.may_start());
+        }
+        if (is<step_wait>(step))
+            EXPECT_GT(known.running_at_once, 0);
+        if (!is<step_deliver>(step))
+            explore(next, known, depth - 1);
+    }
+
+    void check(const attempt_ledger& ledger, const truth& known) const
+    {
+        const int ran = known.may_have_run + known.running_at_once;
+        EXPECT_LE(ran, max_attempts);
+        if (!repeatable)
+            EXPECT_LE(ran, 1);
+        EXPECT_EQ(is<step_refuse>(ledger.give_up()), ran == 0);
+    }
+};
+
+TEST(Attempts, EveryOrderKeepsOnceAtMostAndTrueRefusals)
+{
+    constexpr int depth = 7;
+    for (const bool repeatable : {false, true})
+        for (const int most : {1, 2, 3}) {
+            explorer each{repeatable, most};
+            each.explore(attempt_ledger(repeatable, most), {}, depth);
+            EXPECT_GT(each.states, 100);
+        }
+}
+
+TEST(Attempts, WhatWasNotSentIsTriedElsewhereWithoutABudget)
+{
+    attempt_ledger ledger(false, 2);
+    ledger.on_started();
+    EXPECT_TRUE(is<step_repeat>(
+        ledger.on_ended(attempt_not_sent{"no connection"}, false)));
+}
+
+TEST(Attempts, ATargetsFailureIsPassedOnWhenNothingElseMayBeTried)
+{
+    attempt_ledger ledger(false, 2);
+    ledger.on_started();
+    EXPECT_TRUE(
+        is<step_deliver>(ledger.on_ended(attempt_answered{500}, true)));
+}
+
+TEST(Attempts, RefusalsOfTargetsEndAfterAFew)
+{
+    attempt_ledger ledger(true, 2);
+    for (int i = 0; i < 2; ++i) {
+        ledger.on_started();
+        EXPECT_TRUE(is<step_repeat>(ledger.on_ended(attempt_refused{}, true)));
+    }
+    ledger.on_started();
+    EXPECT_TRUE(is<step_refuse>(ledger.on_ended(attempt_refused{}, true)));
+}
+
+/// Several instances with different views of how many they are, one of which
+/// restarts and forgets what it sent.
+RC_GTEST_PROP(RepeatBudget, AllInstancesTogetherStayWithinTheBound, ())
+{
+    const repeat_budget_settings settings{
+        .ratio = 0.2, .allowance = 58, .window = 10s};
+    constexpr int members = 6;
+    std::vector<repeat_budget> budgets;
+    for (int i = 0; i < members; ++i) {
+        budgets.emplace_back(settings, time_point{1s});
+        budgets.back().set_members(*rc::gen::inRange(5, 8));
+    }
+    const auto restart_at = *rc::gen::inRange(50, 250);
+    std::vector<int> requests;
+    std::vector<int> repeats;
+    for (int tick = 0; tick < 300; ++tick) { // of 100 ms
+        const time_point now = time_point{1s} + tick * 100ms;
+        requests.push_back(0);
+        repeats.push_back(0);
+        if (tick == restart_at) {
+            budgets[0] = repeat_budget(settings, now);
+            budgets[0].set_members(members);
+        }
+        for (auto& each : budgets) {
+            const int arrivals = *rc::gen::inRange(0, 3);
+            for (int i = 0; i < arrivals; ++i)
+                each.on_request(now);
+            requests.back() += arrivals;
+            while (each.has_room(now)) {
+                each.on_repeat(now);
+                ++repeats.back();
+            }
+        }
+    }
+    constexpr int window = 100;
+    for (int end = window; end <= 300; ++end) {
+        int asked = 0;
+        int again = 0;
+        for (int tick = end - window; tick < end; ++tick) {
+            asked += requests[static_cast<std::size_t>(tick)];
+            again += repeats[static_cast<std::size_t>(tick)];
+        }
+        RC_ASSERT(again <= settings.ratio * asked + settings.allowance);
+    }
+}
+
+TEST(RepeatBudget, HedgesLeaveAReserveToRepeats)
+{
+    repeat_budget budget({.ratio = 0, .allowance = 16, .window = 10s},
+                         time_point{1s});
+    const time_point now{20s};
+    int hedges = 0;
+    while (budget.has_room(now, 0.5)) {
+        budget.on_repeat(now);
+        ++hedges;
+    }
+    EXPECT_EQ(hedges, 5);
+    EXPECT_TRUE(budget.has_room(now));
+}
+
+} // namespace
--- /dev/null
+++ b/test/caller_server.cpp
@@ -0,0 +1,246 @@
+#include "vanillapost/src/io/caller_server.hpp"
+#include "io_support.hpp"
+
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using namespace vanillapost;
+using namespace vanillapost::io;
+using namespace vanillapost::io::test;
+using exchange_ptr = std::unique_ptr<caller_exchange>;
+
+/// A server whose requests are held until the test answers them.
+struct served
+{
+    event_loop loop;
+    std::vector<exchange_ptr> held;
+    std::vector<http_request> requests;
+    caller_server server;
+    address where;
+
+    explicit served(caller_server_limits limits = {})
+        : server(loop, limits,
+                 [this](exchange_ptr e) {
+                     requests.push_back(e->take_request());
+                     held.push_back(std::move(e));
+                 }),
+          where(server.listen(any_port))
+    {
+    }
+
+    std::unique_ptr<raw_stream> connect()
+    {
+        return connect_raw(loop, where);
+    }
+
+    void await(std::size_t count)
+    {
+        run_until(loop, [&] { return requests.size() >= count; });
+    }
+
+    void await_text(const raw_stream& stream, std::string_view text)
+    {
+        run_until(loop, [&] {
+            return stream.received.find(text) != std::string::npos;
+        });
+    }
+};
+
+std::size_t position(const raw_stream& stream, std::string_view text)
+{
+    return stream.received.find(text);
+}
+
+// evhttp would begin the second request only after the first was answered.
+TEST(CallerServer, PipelinedRequestsAreWorkedOnTogetherAndAnsweredInOrder)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(3);
+    s.held[2]->reply(200, {}, "third");
+    s.held[1]->reply(200, {}, "second");
+    run_for(s.loop, 20ms);
+    EXPECT_TRUE(caller->received.empty());
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "third");
+    EXPECT_LT(position(*caller, "first"), position(*caller, "second"));
+    EXPECT_LT(position(*caller, "second"), position(*caller, "third"));
+}
+
+TEST(CallerServer, ReadsBodiesWithALengthAndInChunks)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n12345"
+                 "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+                 "\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    s.await(2);
+    EXPECT_EQ(s.requests[0].body, "12345");
+    EXPECT_EQ(s.requests[1].body, "abcde");
+}
+
+TEST(CallerServer, TellsAtOnceThatACallerLeft)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(2);
+    int gone = 0;
+    for (auto& each : s.held)
+        each->on_gone([&] { ++gone; });
+    caller->close();
+    run_until(s.loop, [&] { return gone == 2; });
+    EXPECT_EQ(s.server.in_flight(), 0u);
+    s.held[0]->reply(200, {}, "nobody reads this");
+}
+
+TEST(CallerServer, AnAnswerThatIsDroppedBreaksTheConnectionOff)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.held[0]->begin(200, {}, std::nullopt);
+    s.held[0]->write("half");
+    s.await_text(*caller, "half");
+    s.held.clear();
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_EQ(position(*caller, "0\r\n\r\n"), std::string::npos);
+}
+
+TEST(CallerServer, StreamsInChunksWithoutALength)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.held[0]->begin(200, {}, std::nullopt);
+    s.held[0]->write("abc");
+    s.held[0]->finish();
+    s.await_text(*caller, "0\r\n\r\n");
+    EXPECT_NE(position(*caller, "3\r\nabc\r\n"), std::string::npos);
+}
+
+TEST(CallerServer, RefusesWhatIsTooLargeOrNoRequest)
+{
+    caller_server_limits limits;
+    limits.max_header_bytes = 200;
+    limits.max_body_bytes = 10;
+    served s(limits);
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"GET / HTTP/1.1\r\nX: " + std::string(300, 'a') + "\r\n\r\n", " 431 "},
+        {"POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n12345678901", " 413 "},
+        {"what is this\r\n\r\n", " 400 "}};
+    for (const auto& [bytes, status] : cases) {
+        auto caller = s.connect();
+        caller->send(bytes);
+        run_until(s.loop, [&] { return caller->closed; });
+        EXPECT_NE(position(*caller, status), std::string::npos) << bytes;
+    }
+    EXPECT_TRUE(s.requests.empty());
+}
+
+TEST(CallerServer, SlowHeadersAndIdleConnectionsAreClosed)
+{
+    caller_server_limits limits;
+    limits.header_timeout = 100ms;
+    limits.idle_timeout = 100ms;
+    served s(limits);
+    auto slow = s.connect();
+    auto idle = s.connect();
+    slow->send("GET / HT");
+    run_until(s.loop, [&] { return slow->closed && idle->closed; });
+    EXPECT_NE(position(*slow, " 408 "), std::string::npos);
+    EXPECT_TRUE(idle->received.empty());
+}
+
+// A request that is read while the server closes is answered, and the caller
+// is told not to send another.
+TEST(CallerServer, AnnouncesItsEndOnTheLastAnswer)
+{
+    served s;
+    auto caller = s.connect();
+    auto idle = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(2);
+    s.server.announce_close();
+    s.server.stop_accepting();
+    s.held[0]->reply(200, {}, "first");
+    s.held[1]->reply(200, {}, "second");
+    run_until(s.loop, [&] { return caller->closed && idle->closed; });
+    const auto said = position(*caller, "Connection: close");
+    EXPECT_GT(said, position(*caller, "first"));
+    EXPECT_LT(said, position(*caller, "second"));
+    EXPECT_FALSE(connect_raw(s.loop, s.where));
+}
+
+TEST(CallerServer, NothingIsReadBehindARequestThatAsksToClose)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.held[0]->reply(200, {}, "first");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_EQ(s.requests.size(), 1u);
+}
+
+TEST(CallerServer, HoldsNoMoreThanItsLimitOfPipelinedRequests)
+{
+    caller_server_limits limits;
+    limits.max_pipelined = 4;
+    served s(limits);
+    auto caller = s.connect();
+    for (int i = 0; i < 10; ++i)
+        caller->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(s.loop, 50ms);
+    EXPECT_EQ(s.requests.size(), 4u);
+    for (std::size_t i = 0; i < 10; ++i) {
+        s.await(i + 1);
+        s.held[i]->reply(200, {}, "x");
+    }
+}
+
+// Exchanges are still out when the server is destroyed.
+TEST(CallerServer, ExchangesMayOutlastTheServer)
+{
+    std::vector<exchange_ptr> held;
+    event_loop loop;
+    auto server = std::make_unique<caller_server>(
+        loop, caller_server_limits{},
+        [&](exchange_ptr e) { held.push_back(std::move(e)); });
+    auto caller = connect_raw(loop, server->listen(any_port));
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_until(loop, [&] { return !held.empty(); });
+    server.reset();
+    held[0]->reply(200, {}, "late");
+}
+
+RC_GTEST_PROP(CallerServer, SurvivesAnyBytes, ())
+{
+    static served s;
+    auto caller = s.connect();
+    const auto valid = std::string("POST /a HTTP/1.1\r\nHost: a\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n"
+                                   "3\r\nabc\r\n0\r\n\r\n");
+    auto bytes = *rc::gen::element(valid, valid + valid);
+    const int changes = *rc::gen::inRange(0, 5);
+    for (int i = 0; i < changes; ++i)
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+            *rc::gen::arbitrary<char>();
+    caller->send(bytes);
+    run_for(s.loop, 2ms);
+    caller->close();
+    run_until(s.loop, [&] { return s.server.connections() == 0; });
+    s.held.clear();
+    RC_ASSERT(s.server.in_flight() == 0u);
+}
+
+} // namespace
--- /dev/null
+++ b/test/placement.cpp
@@ -0,0 +1,254 @@
+#include "vanillapost/placement.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace vanillapost;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{100s};
+const service_id service{"s"};
+const entry_id self{"me"};
+
+listed_target make_target(const std::string& id, const std::string& centre)
+{
+    listed_target made;
+    made.id = {id};
+    made.service = service;
+    made.address = "127.0.0.1:1";
+    made.data_centre = {centre};
+    made.slots = 2;
+    made.born_ms = 1;
+    return made;
+}
+
+/// A placer over some targets, with all of them just probed.
+struct placed
+{
+    target_catalog catalog;
+    target_placer placer;
+    std::map<service_id, double> rates{{service, 3.4}};
+
+    explicit placed(const std::vector<std::string>& local,
+                    const std::vector<std::string>& remote = {})
+        : placer({.data_centre = {"d1"}, .self = self}, random_engine(1))
+    {
+        for (const auto& id : local)
+            catalog.put(make_target(id, "d1"));
+        for (const auto& id : remote)
+            catalog.put(make_target(id, "d2"));
+        placer.set_members({{self, {"d1"}}});
+        placer.update(catalog, rates, start);
+    }
+
+    void report(const std::string& id, int running, double pace,
+                time_point now = start)
+    {
+        placer.find({id})->on_report({running, 0, 2, pace}, true, now);
+    }
+
+    placement_decision choose(const placement_effort& effort = {false, false},
+                              time_point now = start, double kib = 1)
+    {
+        placement_request request;
+        request.service = service;
+        request.expected_work = 120ms;
+        request.expected_kib = kib;
+        return placer.choose(request, effort, now);
+    }
+
+    std::string chosen(time_point now = start, double kib = 1)
+    {
+        const auto decision = choose({false, false}, now, kib);
+        const auto* place = std::get_if<place_on>(&decision);
+        return place ? place->target.value : "";
+    }
+};
+
+// A quarter of the machines works four times slower for some 300 ms.
+TEST(Placement, ATargetOnASlowedMachineIsAvoidedWhileItsReportIsFresh)
+{
+    placed p({"a", "b"});
+    p.report("a", 0, 4);
+    p.report("b", 0, 1);
+    EXPECT_EQ(p.chosen(), "b");
+}
+
+TEST(Placement, AnIdleTargetGoesBeforeOneThatSlowsDownNearlyFull)
+{
+    placed p({"a", "b"});
+    p.report("a", 1, 1);
+    p.report("b", 0, 1.3);
+    EXPECT_EQ(p.chosen(), "b");
+}
+
+TEST(Placement, OldReportsAreAskedForAnewBeforeTheChoice)
+{
+    placed p({"a", "b", "c", "d"});
+    const auto first = p.choose({true, false});
+    ASSERT_TRUE(std::holds_alternative<measure_first>(first));
+    EXPECT_EQ(std::get<measure_first>(first).targets.size(), 3u);
+    for (const auto& id : {"a", "b", "c", "d"})
+        p.report(id, 0, 1);
+    EXPECT_TRUE(
+        std::holds_alternative<place_on>(p.choose({true, false})));
+    const auto later = p.choose({true, false}, start + 100ms);
+    EXPECT_TRUE(std::holds_alternative<measure_first>(later));
+}
+
+TEST(Placement, FurtherTargetsAreProbedWhileAllProbedOnesAreSlow)
+{
+    placed p({"a", "b", "c", "d"});
+    for (const auto& id : {"a", "b", "c"})
+        p.report(id, 0, 6);
+    const auto decision = p.choose({true, false});
+    ASSERT_TRUE(std::holds_alternative<measure_first>(decision));
+    EXPECT_EQ(std::get<measure_first>(decision).targets,
+              std::vector<target_id>{{"d"}});
+}
+
+TEST(Placement, LargeAnswersStayInTheDataCentreAndSmallOnesNeedNot)
+{
+    placed p({"near"}, {"far"});
+    p.report("near", 0, 3);
+    p.report("far", 0, 1);
+    EXPECT_EQ(p.chosen(start, 1), "far");
+    EXPECT_EQ(p.chosen(start, 90), "near");
+}
+
+TEST(Placement, FullTargetsAreSaidToBeFullBeforeRequestsQueueThere)
+{
+    placed p({"a"});
+    p.report("a", 2, 1);
+    EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, false})));
+    EXPECT_TRUE(std::holds_alternative<place_on>(p.choose({false, true})));
+    p.report("a", 4, 1);
+    EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, true})));
+}
+
+TEST(Placement, AFailingTargetIsAvoidedAndTriedAgainLater)
+{
+    placed p({"a", "b"});
+    p.report("a", 0, 1);
+    p.report("b", 0, 1.2);
+    EXPECT_EQ(p.chosen(), "a");
+    for (int i = 0; i < 2; ++i) {
+        p.placer.find({"a"})->on_sent(start);
+        p.placer.find({"a"})->on_ended(attempt_verdict::failed, start);
+    }
+    EXPECT_EQ(p.chosen(), "b");
+    p.report("a", 0, 1, start + 20s);
+    p.report("b", 0, 1.2, start + 20s);
+    EXPECT_EQ(p.chosen(start + 20s), "a");
+}
+
+TEST(Placement, AnUnreachableTargetGetsNothingUntilItAnswersAProbe)
+{
+    placed p({"a"});
+    p.report("a", 0, 1);
+    p.placer.find({"a"})->on_probe_failed(start);
+    EXPECT_TRUE(std::holds_alternative<no_target>(p.choose()));
+    EXPECT_TRUE(
+        std::holds_alternative<measure_first>(p.choose({true, false})));
+    p.report("a", 0, 1);
+    EXPECT_EQ(p.chosen(), "a");
+}
+
+TEST(Placement, LeavingAndEvacuatedTargetsAreNotChosen)
+{
+    placed p({"a"}, {"b"});
+    p.report("a", 0, 1);
+    p.report("b", 0, 1);
+    p.catalog.set_evacuated({{"d2"}});
+    auto leaving = make_target("a", "d1");
+    leaving.draining = true;
+    leaving.sequence = 1;
+    p.catalog.put(leaving);
+    p.placer.update(p.catalog, p.rates, start);
+    EXPECT_TRUE(std::holds_alternative<no_target>(p.choose()));
+}
+
+// Instances that disagree about who lives, one of them restarted, all with
+// more requests than a cold target bears.
+RC_GTEST_PROP(Placement, AColdTargetGetsNoMoreThanItBears, ())
+{
+    constexpr double rate = 3.4;
+    constexpr double bound = rate * 1.5 + 5;
+    std::vector<owner_candidate> all;
+    for (int i = 0; i < 6; ++i)
+        all.push_back({{"m" + std::to_string(i)},
+                       {"d" + std::to_string(i % 3)}});
+    std::vector<std::vector<owner_candidate>> views;
+    for (int i = 0; i < 6; ++i) {
+        auto view = all;
+        // Each misses up to one other, as while a death becomes known.
+        const auto missing = *rc::gen::inRange<std::size_t>(0, 7);
+        if (missing < view.size() && missing != static_cast<std::size_t>(i))
+            view.erase(view.begin() + static_cast<std::ptrdiff_t>(missing));
+        views.push_back(view);
+    }
+    std::vector<cold_pacer> pacers(6);
+    const int restarted = *rc::gen::inRange(0, 6);
+    std::vector<time_point> sent;
+    for (int tick = 0; tick < 500; ++tick) { // of 10 ms
+        const time_point now = start + tick * 10ms;
+        if (tick == 250)
+            pacers[static_cast<std::size_t>(restarted)] = {};
+        for (std::size_t i = 0; i < 6; ++i) {
+            const auto owners = cold_owners({"t"}, {"d1"}, views[i]);
+            const bool owns = std::ranges::find(owners, all[i].name) !=
+                              owners.end();
+            if (!owns || !pacers[i].may_send(rate, now))
+                continue;
+            pacers[i].on_sent(now);
+            sent.push_back(now);
+        }
+    }
+    for (const auto& from : sent) {
+        const auto in_second = std::ranges::count_if(sent, [&](auto at) {
+            return at >= from && at < from + 1s;
+        });
+        RC_ASSERT(static_cast<double>(in_second) <= bound);
+    }
+}
+
+TEST(Placement, ANewcomerIsUsedByItsOwnersAsSoonAsItMayBe)
+{
+    placed p({"old"});
+    auto cold = make_target("new", "d1");
+    cold.cold_left = 3s;
+    p.catalog.put(cold);
+    p.placer.update(p.catalog, p.rates, start);
+    p.report("old", 0, 1);
+    p.report("new", 0, 1);
+    EXPECT_EQ(p.chosen(), "new");
+    p.placer.find({"new"})->on_sent(start);
+    EXPECT_EQ(p.chosen(), "old");
+}
+
+TEST(Placement, ColdOwnersAreOfTheDataCentreWhereThereAreSome)
+{
+    const std::vector<owner_candidate> members{
+        {{"a"}, {"d1"}}, {{"b"}, {"d2"}}, {{"c"}, {"d2"}}, {{"d"}, {"d2"}}};
+    for (const auto& target : {"t1", "t2", "t3"}) {
+        const auto owners = cold_owners({target}, {"d2"}, members);
+        ASSERT_EQ(owners.size(), cold_owner_count);
+        for (const auto& owner : owners)
+            EXPECT_NE(owner.value, "a");
+    }
+}
+
+TEST(TargetKnowledge, OthersRequestsAreThoseThatTheReportHasBeyondOwn)
+{
+    target_knowledge known;
+    known.on_sent(start);
+    known.on_report({2, 1, 2, 1}, true, start);
+    EXPECT_NEAR(known.load(start), 3, 0.01);
+    known.on_ended(attempt_verdict::good, start);
+    EXPECT_NEAR(known.load(start), 2, 0.01);
+    EXPECT_LT(known.load(start + 2s), 0.1);
+}
+
+} // namespace
--- /dev/null
+++ b/test/target_pool.cpp
@@ -0,0 +1,258 @@
+#include "vanillapost/src/io/target_pool.hpp"
+#include "io_support.hpp"
+
+namespace {
+
+using namespace vanillapost;
+using namespace vanillapost::io;
+using namespace vanillapost::io::test;
+
+const std::string request_bytes = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+const std::string answer = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+                           "Content-Length: 2\r\n\r\nok";
+
+/// A call that notes how it ended.
+struct noted
+{
+    target_answer_head head;
+    std::string body;
+    bool done = false;
+    std::optional<target_failure> failure;
+    std::unique_ptr<target_call> call;
+
+    bool ended() const
+    {
+        return done || failure;
+    }
+
+    target_call_handlers handlers()
+    {
+        return {[this](target_answer_head&& got) { head = std::move(got); },
+                [this](std::string_view data) { body += data; },
+                [this] { done = true; },
+                [this](const target_failure& why) { failure = why; }};
+    }
+};
+
+/// A pool, and a target that answers as the test says.
+struct pooled
+{
+    event_loop loop;
+    raw_server target{loop};
+    target_pool pool;
+
+    explicit pooled(target_pool_settings settings = {})
+        : pool(loop, target.where, named(std::move(settings)))
+    {
+    }
+
+    static target_pool_settings named(target_pool_settings settings)
+    {
+        settings.id_header = "Id";
+        return settings;
+    }
+
+    void start(noted& call, duration max_silence = duration::max())
+    {
+        call.call = pool.start({request_bytes, "1", false, max_silence},
+                               call.handlers());
+    }
+
+    /// Waits for the request on the newest connection.
+    raw_stream& await_request(std::size_t connections = 1)
+    {
+        run_until(loop, [&] {
+            return target.streams.size() >= connections &&
+                   target.streams.back()->received.ends_with("\r\n\r\n");
+        });
+        auto& stream = *target.streams.back();
+        stream.received.clear();
+        return stream;
+    }
+
+    void await(const noted& call)
+    {
+        run_until(loop, [&] { return call.ended(); });
+    }
+
+    void serve(noted& call, const std::string& bytes,
+               std::size_t connections = 1)
+    {
+        start(call);
+        await_request(connections).send(bytes);
+        await(call);
+    }
+};
+
+TEST(TargetPool, AConnectionIsUsedAgain)
+{
+    pooled p;
+    for (int i = 0; i < 3; ++i) {
+        noted call;
+        p.serve(call, answer);
+        EXPECT_TRUE(call.done);
+        EXPECT_EQ(call.body, "ok");
+        EXPECT_EQ(call.head.length, 2u);
+    }
+    EXPECT_EQ(p.pool.connections_made(), 1u);
+}
+
+TEST(TargetPool, BytesBehindAnAnswerEndTheConnection)
+{
+    pooled p;
+    noted call;
+    p.serve(call, answer + answer);
+    EXPECT_TRUE(call.done);
+    EXPECT_EQ(call.body, "ok");
+    EXPECT_FALSE(p.pool.has_idle());
+}
+
+// A second answer to an earlier call comes where the next answer is due.
+TEST(TargetPool, AnAnswerWithAnotherIdIsDroppedAndTheRightOneAwaited)
+{
+    pooled p;
+    noted call;
+    p.serve(call, "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nold" +
+                      answer);
+    EXPECT_TRUE(call.done);
+    EXPECT_EQ(call.body, "ok");
+    EXPECT_FALSE(p.pool.has_idle());
+}
+
+TEST(TargetPool, UnaskedBytesOnAnIdleConnectionEndIt)
+{
+    pooled p;
+    noted call;
+    p.serve(call, answer);
+    EXPECT_TRUE(p.pool.has_idle());
+    p.target.streams.back()->send(answer);
+    run_until(p.loop, [&] { return !p.pool.has_idle(); });
+}
+
+TEST(TargetPool, AnAnswerWithoutALengthIsCompleteOnlyWhenClosedInOrder)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it";
+    pooled p;
+    noted call;
+    p.start(call);
+    auto& stream = p.await_request();
+    stream.send(head);
+    run_until(p.loop, [&] { return call.body == "all of it"; });
+    EXPECT_FALSE(call.ended());
+    stream.close();
+    p.await(call);
+    EXPECT_TRUE(call.done);
+}
+
+TEST(TargetPool, ATruncatedAnswerFailsAndMayHaveRun)
+{
+    pooled p;
+    noted call;
+    p.start(call);
+    auto& stream = p.await_request();
+    stream.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhalf");
+    run_until(p.loop, [&] { return call.body == "half"; });
+    stream.close();
+    p.await(call);
+    ASSERT_TRUE(call.failure);
+    EXPECT_TRUE(call.failure->sent);
+}
+
+TEST(TargetPool, BytesThatAreNoAnswerFail)
+{
+    pooled p;
+    noted call;
+    p.serve(call, "garbage\r\n\r\n");
+    ASSERT_TRUE(call.failure);
+    EXPECT_TRUE(call.failure->sent);
+}
+
+TEST(TargetPool, ARefusedConnectionWasNotSent)
+{
+    event_loop loop;
+    address nobody;
+    {
+        raw_server closed(loop);
+        nobody = closed.where;
+    }
+    target_pool pool(loop, nobody, pooled::named({}));
+    noted call;
+    call.call = pool.start({request_bytes, "1"}, call.handlers());
+    EXPECT_FALSE(call.ended());
+    run_until(loop, [&] { return call.ended(); });
+    ASSERT_TRUE(call.failure);
+    EXPECT_FALSE(call.failure->sent);
+}
+
+TEST(TargetPool, DestroyingACallClosesItsConnection)
+{
+    pooled p;
+    noted call;
+    p.start(call);
+    auto& stream = p.await_request();
+    call.call.reset();
+    run_until(p.loop, [&] { return stream.closed; });
+    EXPECT_FALSE(call.ended());
+    EXPECT_EQ(p.pool.open_connections(), 0u);
+}
+
+// A request that may run once is not risked on a connection that has been
+// silent: the target may have dropped it without a word.
+TEST(TargetPool, ASilentConnectionIsNotUsedWhereALossCouldNotBeRepeated)
+{
+    pooled p;
+    noted first;
+    p.serve(first, answer);
+    run_for(p.loop, 30ms);
+    noted second;
+    p.start(second, 10ms);
+    p.await_request(2).send(answer);
+    p.await(second);
+    EXPECT_TRUE(second.done);
+    EXPECT_EQ(p.pool.connections_made(), 2u);
+}
+
+TEST(TargetPool, ConnectionsAreGivenUpBeforeTheirTargetClosesThem)
+{
+    pooled p;
+    noted call;
+    p.serve(call, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=2\r\n"
+                  "Content-Length: 0\r\n\r\n");
+    EXPECT_TRUE(p.pool.has_idle());
+    p.pool.sweep(p.loop.now() + 600ms);
+    EXPECT_FALSE(p.pool.has_idle());
+}
+
+TEST(TargetPool, ATargetThatSaysCloseIsNotUsedAgain)
+{
+    pooled p;
+    noted call;
+    p.serve(call, "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n"
+                  "Content-Length: 0\r\n\r\n");
+    EXPECT_TRUE(call.done);
+    EXPECT_FALSE(p.pool.has_idle());
+}
+
+TEST(TargetPool, NoMoreConnectionsThanAllowed)
+{
+    pooled p({.max_connections = 1});
+    noted one;
+    noted other;
+    p.start(one);
+    p.start(other);
+    p.await(other);
+    ASSERT_TRUE(other.failure);
+    EXPECT_FALSE(other.failure->sent);
+    EXPECT_FALSE(one.ended());
+}
+
+TEST(TargetPool, InterimAnswersAreSkipped)
+{
+    pooled p;
+    noted call;
+    p.serve(call, "HTTP/1.1 100 Continue\r\n\r\n" + answer);
+    EXPECT_TRUE(call.done);
+    EXPECT_EQ(call.head.status, 200);
+}
+
+} // namespace
