--- a/apps/router/directory.cpp
+++ b/apps/router/directory.cpp
@@ -1,5 +1,6 @@
 #include "directory.hpp"
 
+#include <charconv>
 #include <set>
 
 namespace vanillapost::router {
@@ -53,11 +54,23 @@
     else if (path == metrics_path)
         exchange->reply(status_ok, text_type, io::render_metrics(metrics_));
     else if (path == state_path)
-        exchange->reply(status_ok, json_type, state_.snapshot().dump());
+        tell_state(*exchange);
     else
         exchange->reply(status_not_found, text_type, "no such path\n");
 }
 
+void directory::tell_state(io::server_exchange& exchange)
+{
+    const auto revision = [&](std::string_view name) {
+        const auto text = exchange.query_value(name);
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    };
+    const state_revisions known{revision("operators"), revision("targets")};
+    exchange.reply(status_ok, json_type, state_.difference(known).dump());
+}
+
 void directory::tell_addresses(io::server_exchange& exchange)
 {
     auto ready = known_.members.ready_peers(loop_.now());
--- a/apps/router/directory.hpp
+++ b/apps/router/directory.hpp
@@ -35,6 +35,7 @@
 private:
     void handle(std::unique_ptr<io::server_exchange> exchange);
     void tell_addresses(io::server_exchange& exchange);
+    void tell_state(io::server_exchange& exchange);
 
     io::event_loop& loop_;
     knowledge& known_;
--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -2,36 +2,80 @@
 
 #include "vanillapost/src/io/detail/cbor.hpp"
 
+#include <algorithm>
+
 namespace vanillapost::router {
 
 namespace {
 
 using namespace std::chrono_literals;
+using nlohmann::json;
 
-constexpr duration question_timeout = 1s;
-/// Pause between two questions to peers while the store is away.
-constexpr duration question_interval = 400ms;
+/// Peers rely on an instance that follows the store while they hear it.
+constexpr duration reader_heartbeat = 250ms;
+/// How long an instance without state waits for a peer that has some, before
+/// it asks the store itself.
+constexpr duration lonely_after = 700ms;
+/// Seeds may start a little later than those that greet them.
+constexpr duration greeting_interval = 100ms;
+/// A change that is passed on may still be on its way when a heartbeat tells
+/// of it.
+constexpr duration relay_time = 40ms;
+constexpr duration question_timeout = 800ms;
+/// Larger changes are asked for over a connection.
+constexpr std::size_t max_relay_bytes = 1200;
+constexpr duration member_list_interval = 10s;
 constexpr int status_ok = 200;
 
+std::string_view name_of(shared_table which)
+{
+    return which == shared_table::operators ? "operators" : "targets";
+}
+
 } // namespace
 
 peer_controller::peer_controller(io::event_loop& loop, const io::address& where,
                                  std::vector<std::string> seeds,
                                  knowledge& known, state_controller& state,
-                                 router_log& log)
-    : loop_(loop), known_(known), state_(state), log_(log),
+                                 router_log& log, random_engine random)
+    : loop_(loop), known_(known), state_(state), log_(log), random_(random),
       socket_(loop, where,
               [this](const io::address& from, std::string_view bytes) {
                   take_datagram(from, bytes);
               }),
-      beat_timer_(loop, [this] { beat(); }), seeds_(std::move(seeds)),
-      peer_port_(where.port)
+      join_timer_(loop, [this] { join(); }),
+      beat_timer_(loop, [this] { beat(); }),
+      ask_timer_(loop, [this] { ask_if_behind(); }), seeds_(std::move(seeds)),
+      peer_port_(where.port), reader_(loop.now()), started_(loop.now())
 {
 }
 
 void peer_controller::start()
 {
-    beat();
+    if (is_seed()) {
+        reader_.on_started_following(started_);
+        state_.follow_store();
+    }
+    join();
+}
+
+// Greets the seeds until one answers, or until nobody is expected to.
+void peer_controller::join()
+{
+    const auto now = loop_.now();
+    const bool alone = known_.members.live_peers(now).empty();
+    if (!alone || now >= started_ + lonely_after) {
+        beat();
+        return;
+    }
+    greet_seeds();
+    join_timer_.start_once(greeting_interval);
+}
+
+bool peer_controller::is_seed() const
+{
+    return std::ranges::find(seeds_, known_.members.self().query_address) !=
+           seeds_.end();
 }
 
 void peer_controller::set_ready(bool ready)
@@ -39,123 +83,252 @@
     if (ready_ == ready)
         return;
     ready_ = ready;
-    send_status();
+    send_pulse();
 }
 
 void peer_controller::leave()
 {
     leaving_ = true;
     ready_ = false;
-    send_status();
+    send_pulse();
+}
+
+duration peer_controller::interval() const
+{
+    const auto usual = known_.members.heartbeat_interval();
+    return state_.is_following() ? std::min(reader_heartbeat, usual) : usual;
+}
+
+member_pulse peer_controller::pulse() const
+{
+    member_pulse result;
+    result.name = known_.members.self().name;
+    result.incarnation = known_.members.self().incarnation;
+    result.ready = ready_;
+    result.leaving = leaving_;
+    result.following = state_.is_following();
+    result.store = state_.access();
+    result.revisions = state_.revisions();
+    return result;
 }
 
 void peer_controller::beat()
 {
-    send_status();
-    if (known_.members.advance(loop_.now()))
-        after_change();
-    ask_peer_if_behind();
-    beat_timer_.start_once(known_.members.heartbeat_interval());
+    const auto now = loop_.now();
+    if (known_.members.advance(now))
+        known_.refresh_members(now);
+    choose_source();
+    send_pulse();
+    if (known_.members.live_peers(now).empty())
+        greet_seeds();
+    ask_if_behind();
+    keep_member_list();
+    beat_timer_.start_once(interval());
+}
+
+// Whether this instance follows the store itself.
+void peer_controller::choose_source()
+{
+    if (leaving_)
+        return;
+    const auto now = loop_.now();
+    const auto live = known_.members.live_peers(now);
+    const bool follow =
+        reader_.should_follow(known_.members.self().name, state_.access(),
+                              state_.revisions(), live, now);
+    if (follow)
+        state_.follow_store();
+    else
+        state_.stop_following();
+    if (live.empty() && !std::exchange(members_read_, true))
+        state_.read_members();
+}
+
+void peer_controller::send(const io::address& to, const json& message)
+{
+    const auto encoded = json::to_cbor(message);
+    socket_.send(
+        to, {reinterpret_cast<const char*>(encoded.data()), encoded.size()});
 }
 
-void peer_controller::send_status()
+void peer_controller::send_pulse()
 {
-    member_status status;
-    status.who = known_.members.self();
-    status.ready = ready_;
-    status.leaving = leaving_;
-    status.configuration_version = known_.routes().config().version;
-    status.state_revision = state_.revision();
-    status.store_reachable = state_.is_store_reachable();
-    std::vector<std::uint8_t> encoded =
-        nlohmann::json::to_cbor(to_json(status));
+    const json message = {{"pulse", to_json(pulse())}};
+    const auto encoded = json::to_cbor(message);
     const std::string_view bytes(reinterpret_cast<const char*>(encoded.data()),
                                  encoded.size());
-    const auto peers = known_.members.peers();
-    for (const auto& peer : peers)
+    for (const auto& peer : known_.members.peers())
         socket_.send(io::parse_address(peer.peer_address), bytes);
-    if (!peers.empty())
-        return;
-    // Nobody is known yet. Ports are the same on all instances.
+}
+
+void peer_controller::send_hello(const io::address& to, bool ask)
+{
+    send(to, {{"hello", to_json(known_.members.self())},
+              {"pulse", to_json(pulse())},
+              {"ask", ask}});
+}
+
+// Ports are the same on all instances.
+void peer_controller::greet_seeds()
+{
     for (const auto& seed : seeds_) {
         auto where = io::parse_address(seed);
+        if (seed == known_.members.self().query_address)
+            continue;
         where.port = peer_port_;
-        socket_.send(where, bytes);
+        send_hello(where, true);
     }
 }
 
+void peer_controller::pass_on(shared_table which,
+                              const state_difference& difference)
+{
+    const json message = {{"table", name_of(which)},
+                          {"change", to_json(difference)}};
+    const auto encoded = json::to_cbor(message);
+    if (encoded.size() > max_relay_bytes) {
+        send_pulse();
+        return;
+    }
+    const std::string_view bytes(reinterpret_cast<const char*>(encoded.data()),
+                                 encoded.size());
+    for (const auto& peer : known_.members.peers())
+        socket_.send(io::parse_address(peer.peer_address), bytes);
+}
+
 void peer_controller::take_datagram(const io::address& from,
                                     std::string_view bytes)
 {
     try {
-        const auto status =
-            parse_member_status(io::detail::parse_message(bytes));
-        // Checked here, so that an address from a peer can be used later on.
-        io::parse_address(status.who.peer_address);
-        io::parse_address(status.who.query_address);
-        if (known_.members.on_status(status, loop_.now()))
-            after_change();
+        take_message(from, io::detail::parse_message(bytes));
+    } catch (const json::exception& failure) {
+        log_.request(
+            io::log_level::warning, "datagram_unreadable",
+            {{"peer", io::to_string(from)}, {"reason", failure.what()}});
     } catch (const error& failure) {
         log_.request(
-            io::log_level::warning, "heartbeat_unreadable",
+            io::log_level::warning, "datagram_unreadable",
             {{"peer", io::to_string(from)}, {"reason", failure.what()}});
     }
 }
 
-void peer_controller::after_change()
+void peer_controller::take_message(const io::address& from, const json& message)
+{
+    if (message.contains("hello")) {
+        take_hello(from, message);
+        return;
+    }
+    if (message.contains("pulse")) {
+        take_pulse(from, message);
+        return;
+    }
+    const auto which = message.at("table").get<std::string>() ==
+                               name_of(shared_table::operators)
+                           ? shared_table::operators
+                           : shared_table::targets;
+    state_.merge(which, parse_state_difference(message.at("change")));
+}
+
+void peer_controller::take_hello(const io::address& from, const json& message)
 {
-    known_.members.advance(loop_.now());
-    known_.refresh_members(loop_.now());
+    const auto who = parse_member(message.at("hello"));
+    // Checked here, so that an address from a peer can be used later on.
+    io::parse_address(who.peer_address);
+    io::parse_address(who.query_address);
+    known_.members.on_known(who, loop_.now());
+    if (message.at("ask").get<bool>())
+        send_hello(from, false);
+    take_pulse(from, message);
 }
 
-void peer_controller::ask_peer_if_behind()
+void peer_controller::take_pulse(const io::address& from, const json& message)
 {
+    const auto pulse = parse_member_pulse(message.at("pulse"));
     const auto now = loop_.now();
-    if (question_ || now < asked_at_ + question_interval)
+    if (!known_.members.on_pulse(pulse, now)) {
+        send_hello(from, true);
         return;
-    if (known_.is_configured() && state_.is_store_reachable())
-        return;
-    const member_status* best = nullptr;
-    const auto live = known_.members.live_peers(now);
-    for (const auto& peer : live)
-        if (peer.state_revision > state_.revision() &&
-            (!best || peer.state_revision > best->state_revision))
-            best = &peer;
-    if (!best)
+    }
+    if (known_.members.advance(now))
+        known_.refresh_members(now);
+    if (state_.revisions().is_behind(pulse.revisions) && !question_)
+        ask_timer_.start_once(
+            state_.revisions() == state_revisions{} ? duration(1) : relay_time);
+}
+
+void peer_controller::ask_if_behind()
+{
+    if (question_)
         return;
-    asked_at_ = now;
+    std::vector<member> knowing;
+    for (const auto& peer : known_.members.live_peers(loop_.now()))
+        if (state_.revisions().is_behind(peer.pulse.revisions))
+            knowing.push_back(peer.who);
+    if (!knowing.empty())
+        ask(knowing[random_() % knowing.size()]);
+}
+
+void peer_controller::ask(const member& peer)
+{
+    const auto known = state_.revisions();
     answer_.clear();
-    log_.state(io::log_level::info, "state_asked_of_peer",
-               {{"peer", best->who.name.value},
-                {"own_revision", std::to_string(state_.revision())},
-                {"peer_revision", std::to_string(best->state_revision)}});
     asked_peer_ = std::make_unique<io::http_client>(
-        loop_, io::parse_address(best->who.query_address));
+        loop_, io::parse_address(peer.query_address));
     io::http_request request;
-    request.target = "/v1/state";
+    request.target = "/v1/state?operators=" + std::to_string(known.operators) +
+                     "&targets=" + std::to_string(known.targets);
     io::call_handlers handlers;
+    handlers.on_headers = [this](int status,
+                                 std::span<const io::header_field>) {
+        answer_status_ = status;
+    };
     handlers.on_data = [this](std::string_view data) { answer_.append(data); };
-    handlers.on_done = [this] {
-        take_snapshot(answer_);
+    const auto name = peer.name.value;
+    handlers.on_done = [this, name] {
+        try {
+            if (answer_status_ != status_ok)
+                throw error("ask for state", name,
+                            "status " + std::to_string(answer_status_));
+            state_.merge(json::parse(answer_));
+        } catch (const std::exception& failure) {
+            log_.state(io::log_level::warning, "peer_state_unreadable",
+                       {{"peer", name}, {"reason", failure.what()}});
+        }
         loop_.post([this] { question_.reset(); });
     };
-    handlers.on_failure = [this](const io::call_failure& failure) {
+    handlers.on_failure = [this, name](const io::call_failure& failure) {
         log_.state(io::log_level::warning, "peer_did_not_tell_state",
-                   {{"reason", failure.what}});
-        loop_.post([this] { question_.reset(); });
+                   {{"peer", name}, {"reason", failure.what}});
+        loop_.post([this] {
+            question_.reset();
+            ask_timer_.start_once(relay_time);
+        });
     };
     question_ =
         asked_peer_->start(request, std::move(handlers), question_timeout);
 }
 
-void peer_controller::take_snapshot(const std::string& body)
+// One reader leaves the list: the first by name of those that follow.
+void peer_controller::keep_member_list()
 {
-    try {
-        state_.merge(nlohmann::json::parse(body));
-    } catch (const std::exception& failure) {
-        log_.state(io::log_level::warning, "peer_state_unreadable",
-                   {{"reason", failure.what()}});
-    }
+    const auto now = loop_.now();
+    if (!state_.is_following() || state_.access() != store_access::works ||
+        now < started_ + member_list_interval / 2 ||
+        now < listed_at_ + member_list_interval)
+        return;
+    const auto live = known_.members.live_peers(now);
+    const bool first = std::ranges::none_of(live, [&](const auto& each) {
+        return each.pulse.following &&
+               each.who.name < known_.members.self().name;
+    });
+    std::vector<member> list;
+    for (const auto& each : live)
+        list.push_back(each.who);
+    if (!first || list == listed_)
+        return;
+    listed_ = std::move(list);
+    listed_at_ = now;
+    state_.write_members();
 }
 
 } // namespace vanillapost::router
--- a/apps/router/peer_controller.hpp
+++ b/apps/router/peer_controller.hpp
@@ -10,17 +10,20 @@
 
 namespace vanillapost::router {
 
-/// Tells peers that this instance lives, hears the same of them, and asks one
-/// of them for its state while the store cannot be reached.
+/// Tells peers that this instance lives and hears the same of them; passes
+/// changes of the store on, and asks peers for those that it missed.
 ///
-/// Heartbeats are datagrams with CBOR: each replaces the one before, so a
-/// lost one needs no repeat, and no connection can go silent.
+/// Heartbeats and changes are datagrams with CBOR. A lost heartbeat is
+/// replaced by the next, a lost change shows in the next heartbeat, and no
+/// connection can go silent.
 class peer_controller
 {
 public:
+    /// \param seeds  query addresses of some peers, which may be stale
     peer_controller(io::event_loop& loop, const io::address& where,
                     std::vector<std::string> seeds, knowledge& known,
-                    state_controller& state, router_log& log);
+                    state_controller& state, router_log& log,
+                    random_engine random);
 
     void start();
 
@@ -30,28 +33,50 @@
     /// Tells peers that this instance ends.
     void leave();
 
+    /// Passes changes on that were read from the store here.
+    void pass_on(shared_table which, const state_difference& difference);
+
 private:
+    void join();
     void beat();
-    void send_status();
+    void send_pulse();
+    void send_hello(const io::address& to, bool ask);
+    void greet_seeds();
+    void send(const io::address& to, const nlohmann::json& message);
     void take_datagram(const io::address& from, std::string_view bytes);
-    void after_change();
-    void ask_peer_if_behind();
-    void take_snapshot(const std::string& body);
+    void take_message(const io::address& from, const nlohmann::json& message);
+    void take_hello(const io::address& from, const nlohmann::json& message);
+    void take_pulse(const io::address& from, const nlohmann::json& message);
+    void choose_source();
+    void ask_if_behind();
+    void ask(const member& peer);
+    void keep_member_list();
+    member_pulse pulse() const;
+    duration interval() const;
+    bool is_seed() const;
 
     io::event_loop& loop_;
     knowledge& known_;
     state_controller& state_;
     router_log& log_;
+    random_engine random_;
     io::datagram_socket socket_;
+    io::timer join_timer_;
     io::timer beat_timer_;
+    io::timer ask_timer_;
     std::vector<std::string> seeds_;
     std::uint16_t peer_port_;
+    reader_choice reader_;
+    time_point started_{};
+    bool members_read_ = false;
     bool ready_ = false;
     bool leaving_ = false;
+    std::vector<member> listed_; ///< as last left in the store
+    time_point listed_at_{};
     std::unique_ptr<io::http_client> asked_peer_;
     std::unique_ptr<io::http_call> question_;
     std::string answer_;
-    time_point asked_at_{};
+    int answer_status_ = 0;
 };
 
 } // namespace vanillapost::router
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -45,8 +45,12 @@
     : loop_(loop), settings_(settings),
       log_(loop, settings.log_lines_per_second), random_(seed),
       known_(describe_self(settings, seed), random_engine(random_())),
-      state_(loop, store, language, known_, log_, random_engine(random_())),
-      peers_(loop, settings.peer_address, settings.seeds, known_, state_, log_),
+      state_(loop, store, language, known_, log_, random_engine(random_()),
+             [this](shared_table which, const state_difference& difference) {
+                 peers_.pass_on(which, difference);
+             }),
+      peers_(loop, settings.peer_address, settings.seeds, known_, state_, log_,
+             random_engine(random_())),
       engine_(loop, known_, language, settings, metrics_, log_,
               random_engine(random_())),
       directory_(loop, known_, state_, language, metrics_.registry(),
@@ -64,7 +68,6 @@
     callers_.listen(settings_.caller_address);
     directory_.listen({settings_.ready_address, settings_.directory_address,
                        settings_.query_address, settings_.metrics_address});
-    state_.start();
     peers_.start();
     check_timer_.start_every(check_interval);
     log_.state(io::log_level::info, "started",
@@ -82,7 +85,6 @@
     directory_.set_ready(false);
     callers_.announce_close();
     peers_.leave();
-    state_.leave();
 }
 
 void router_server::check()
@@ -114,7 +116,7 @@
     metrics_.set_members(live);
     metrics_.set_targets(known_.targets.all().size());
     metrics_.set_configuration_version(known_.routes().config().version);
-    metrics_.set_store_reachable(state_.is_store_reachable());
+    metrics_.set_store_reachable(state_.access() != store_access::lost);
 }
 
 void router_server::check_leaving(time_point now)
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -9,92 +9,160 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-constexpr duration register_retry = 500ms;
-/// Members come and go rarely, and heartbeats tell of them sooner.
-constexpr duration member_batch = 1s;
+/// After this time without asking, the store may be back.
+constexpr duration access_memory = 5s;
+/// Row of the member table with all members.
+constexpr std::string_view member_list_key = "list";
 
 } // namespace
 
 state_controller::state_controller(io::event_loop& loop, io::row_store& store,
                                    const platform_language& language,
                                    knowledge& known, router_log& log,
-                                   random_engine random)
+                                   random_engine random,
+                                   change_handler on_change)
     : loop_(loop), store_(store), language_(language), known_(known), log_(log),
-      random_(random), removal_timer_(loop, [this] { apply_removals(); }),
-      register_timer_(loop, [this] { register_self(); }),
+      on_change_(std::move(on_change)),
+      removal_timer_(loop, [this] { finish_target_rows(); }),
       alive_(std::make_shared<bool>(true))
 {
-    const auto& rows = language_.rows;
-    add_table(rows.operator_table, &state_controller::take_operator_row,
-              &state_controller::finish_operator_rows);
-    add_table(rows.target_table, &state_controller::take_target_row,
-              &state_controller::finish_target_rows);
-    add_table(rows.member_table, &state_controller::take_member_row,
-              &state_controller::finish_member_rows);
+    operators_.take = &state_controller::take_operator_row;
+    operators_.finish = &state_controller::finish_operator_rows;
+    targets_.take = &state_controller::take_target_row;
+    targets_.finish = &state_controller::finish_target_rows;
+    set_up(shared_table::operators, language.rows.operator_table, store,
+           random_engine(random()));
+    set_up(shared_table::targets, language.rows.target_table, store,
+           random_engine(random()));
 }
 
-state_controller::table_state& state_controller::add_table(
-    const std::string& name,
-    void (state_controller::*changed)(const io::store_row&),
-    void (state_controller::*finished)())
+void state_controller::set_up(shared_table which, const std::string& name,
+                              io::row_store& store, random_engine random)
 {
-    auto& table = tables_[name];
+    auto& made = table_of(which);
+    made.name = name;
     io::table_follower_handlers handlers;
-    handlers.on_read = [this, &table, changed,
-                        finished](const std::vector<io::store_row>& rows) {
-        std::map<std::string, io::store_row> gone = table.rows;
-        for (const auto& row : rows) {
-            gone.erase(row.key);
-            if (store_row(table, row))
-                (this->*changed)(row);
-        }
-        for (auto& [key, row] : gone) {
-            if (row.removed)
-                continue;
-            row.removed = true;
-            row.value.clear();
-            table.rows[key] = row;
-            (this->*changed)(row);
-        }
-        (this->*finished)();
+    handlers.on_read = [this, which](const std::vector<io::store_row>& rows,
+                                     std::uint64_t revision) {
+        note_access(true);
+        apply(which, {0, revision, true, rows}, true);
     };
-    handlers.on_changed = [this, &table, changed,
-                           finished](const std::vector<io::store_row>& rows) {
+    handlers.on_changed = [this,
+                           which](const std::vector<io::store_row>& rows) {
+        note_access(true);
+        std::uint64_t newest = 0;
         for (const auto& row : rows)
-            if (store_row(table, row))
-                (this->*changed)(row);
-        (this->*finished)();
+            newest = std::max(newest, row.revision);
+        apply(which, {table_of(which).state.revision(), newest, false, rows},
+              true);
     };
-    handlers.on_lost = [this, name](const io::store_failure& failure) {
+    handlers.on_lost = [this, which](const io::store_failure& failure) {
+        note_access(false);
         log_.state(io::log_level::warning, "store_lost",
-                   {{"table", name}, {"reason", failure.what}});
+                   {{"table", table_of(which).name}, {"reason", failure.what}});
     };
-    handlers.on_back = [this, name] { on_back(name); };
-    io::table_follower_settings settings;
-    if (name == language_.rows.member_table)
-        settings.batch_delay = member_batch;
-    table.follower = std::make_unique<io::table_follower>(
-        loop_, store_, name, settings, random_engine(random_()),
+    handlers.on_back = [this, which] {
+        note_access(true);
+        if (which == shared_table::targets)
+            known_.targets.on_list_back(loop_.now());
+        log_.state(io::log_level::info, "store_back",
+                   {{"table", table_of(which).name}});
+    };
+    made.follower = std::make_unique<io::table_follower>(
+        loop_, store, name, io::table_follower_settings{}, random,
         std::move(handlers));
-    return table;
 }
 
-void state_controller::start()
+void state_controller::follow_store()
+{
+    if (following_)
+        return;
+    following_ = true;
+    tried_at_ = loop_.now();
+    works_ = true;
+    log_.state(io::log_level::info, "follows_store",
+               {{"operators", std::to_string(operators_.state.revision())},
+                {"targets", std::to_string(targets_.state.revision())}});
+    operators_.follower->start(operators_.state.revision());
+    targets_.follower->start(targets_.state.revision());
+}
+
+void state_controller::stop_following()
+{
+    if (!following_)
+        return;
+    following_ = false;
+    log_.state(io::log_level::info, "relies_on_readers");
+    operators_.follower->stop();
+    targets_.follower->stop();
+}
+
+store_access state_controller::access() const
+{
+    const bool recent =
+        tried_at_ && (following_ || loop_.now() - *tried_at_ < access_memory);
+    if (!recent)
+        return store_access::untried;
+    return works_ ? store_access::works : store_access::lost;
+}
+
+void state_controller::note_access(bool works)
 {
-    for (auto& [name, table] : tables_)
-        table.follower->start();
-    register_self();
+    tried_at_ = loop_.now();
+    works_ = works && operators_.follower->is_reachable() &&
+             targets_.follower->is_reachable();
 }
 
-// A row never goes back, whichever way an older one arrives.
-bool state_controller::store_row(table_state& table, const io::store_row& row)
+state_revisions state_controller::revisions() const
 {
-    auto& stored = table.rows[row.key];
-    if (stored.revision >= row.revision && stored.revision > 0)
-        return false;
-    stored = row;
-    table.revision = std::max(table.revision, row.revision);
-    return true;
+    return {operators_.state.revision(), targets_.state.revision()};
+}
+
+json state_controller::difference(const state_revisions& known) const
+{
+    json members = json::array({to_json(known_.members.self())});
+    for (const auto& peer : known_.members.live_peers(loop_.now()))
+        members.push_back(to_json(peer.who));
+    return {{"operators", to_json(operators_.state.since(known.operators))},
+            {"targets", to_json(targets_.state.since(known.targets))},
+            {"members", std::move(members)}};
+}
+
+void state_controller::merge(const json& difference)
+{
+    try {
+        merge(shared_table::operators,
+              parse_state_difference(difference.at("operators")));
+        merge(shared_table::targets,
+              parse_state_difference(difference.at("targets")));
+        for (const auto& each : difference.at("members"))
+            known_.members.on_known(parse_member(each), loop_.now());
+    } catch (const json::exception& failure) {
+        throw error("read state", "", failure.what());
+    }
+}
+
+void state_controller::merge(shared_table which,
+                             const state_difference& difference)
+{
+    // What is missing in between is asked for with the next heartbeat.
+    if (table_of(which).state.follows(difference))
+        apply(which, difference, false);
+}
+
+void state_controller::apply(shared_table which,
+                             const state_difference& difference,
+                             bool from_store)
+{
+    auto& table = table_of(which);
+    const auto before = table.state.revision();
+    const auto changed = table.state.apply(difference, loop_.now());
+    for (const auto& row : changed)
+        (this->*table.take)(row);
+    if (!changed.empty())
+        (this->*table.finish)();
+    if (from_store && !changed.empty())
+        on_change_(which, {before, table.state.revision(), false, changed});
 }
 
 void state_controller::take_operator_row(const io::store_row& row)
@@ -109,14 +177,14 @@
                        {{"version", std::to_string(version)},
                         {"revision", std::to_string(row.revision)}});
     } catch (const error& failure) {
-        report("configuration_unreadable", row.key, failure);
+        report("configuration_unreadable", row.key, failure.what());
     }
 }
 
 void state_controller::finish_operator_rows()
 {
     std::set<data_centre_id> evacuated;
-    for (const auto& [key, row] : tables_[language_.rows.operator_table].rows) {
+    for (const auto& [key, row] : operators_.state.rows()) {
         const auto data_centre = language_.rows.read_evacuation(key);
         if (data_centre && !row.removed)
             evacuated.insert(*data_centre);
@@ -146,17 +214,12 @@
                        {{"target", row.key},
                         {"revision", std::to_string(row.revision)}});
     } catch (const error& failure) {
-        report("target_unreadable", row.key, failure);
+        report("target_unreadable", row.key, failure.what());
         known_.targets.remove(id, now);
     }
 }
 
 void state_controller::finish_target_rows()
-{
-    apply_removals();
-}
-
-void state_controller::apply_removals()
 {
     const auto now = loop_.now();
     known_.targets.advance(now);
@@ -165,130 +228,57 @@
         removal_timer_.start_once(std::max<duration>(*next - now, 1ms));
 }
 
-void state_controller::take_member_row(const io::store_row& row)
-{
-    if (row.removed) {
-        known_.members.on_withdrawn({row.key});
-        return;
-    }
-    try {
-        const auto document = json::parse(row.value, nullptr, false);
-        known_.members.on_known(parse_member(document), loop_.now());
-    } catch (const error& failure) {
-        report("member_unreadable", row.key, failure);
-    }
-}
-
-void state_controller::finish_member_rows()
-{
-    known_.refresh_members(loop_.now());
-}
-
-void state_controller::register_self()
-{
-    if (leaving_)
-        return;
-    const auto& self = known_.members.self();
-    store_.put(
-        language_.rows.member_table, self.name.value, to_json(self).dump(),
-        [this, alive = alive_](io::store_result result) {
-            if (!*alive)
-                return;
-            const auto* failure = std::get_if<io::store_failure>(&result);
-            if (!failure)
-                return;
-            log_.state(io::log_level::warning, "member_row_not_written",
-                       {{"reason", failure->what}});
-            register_timer_.start_once(register_retry);
-        });
-}
-
-void state_controller::leave()
-{
-    leaving_ = true;
-    store_.remove(
-        language_.rows.member_table, known_.members.self().name.value,
-        [this, alive = alive_](const io::store_result& result) {
-            const auto* failure = std::get_if<io::store_failure>(&result);
-            if (*alive && failure)
-                log_.state(io::log_level::warning, "member_row_not_withdrawn",
-                           {{"reason", failure->what}});
-        });
-}
-
-bool state_controller::is_store_reachable() const
-{
-    return std::ranges::all_of(tables_, [](const auto& each) {
-        return each.second.follower->is_reachable();
-    });
-}
-
-std::uint64_t state_controller::revision() const
+void state_controller::read_members()
 {
-    std::uint64_t newest = 0;
-    for (const auto& [name, table] : tables_)
-        if (name != language_.rows.member_table)
-            newest = std::max(newest, table.revision);
-    return newest;
+    store_.read(language_.rows.member_table, "",
+                [this, alive = alive_](io::store_result result) {
+                    if (!*alive)
+                        return;
+                    if (const auto* rows = std::get_if<io::store_rows>(&result))
+                        take_member_rows(rows->rows);
+                    else
+                        report("members_not_read", "",
+                               std::get<io::store_failure>(result).what);
+                });
 }
 
-json state_controller::snapshot() const
+void state_controller::take_member_rows(const std::vector<io::store_row>& rows)
 {
-    json tables = json::object();
-    for (const auto& [name, table] : tables_) {
-        json rows = json::array();
-        for (const auto& [key, row] : table.rows)
-            rows.push_back({{"key", key},
-                            {"value", row.value},
-                            {"revision", row.revision},
-                            {"removed", row.removed}});
-        tables[name] = std::move(rows);
-    }
-    return {{"tables", std::move(tables)}};
-}
-
-void state_controller::merge(const json& snapshot)
-{
-    using take_row = void (state_controller::*)(const io::store_row&);
-    using finish = void (state_controller::*)();
-    const auto& names = language_.rows;
-    const std::array<std::tuple<std::string, take_row, finish>, 3> tables = {
-        {{names.operator_table, &state_controller::take_operator_row,
-          &state_controller::finish_operator_rows},
-         {names.target_table, &state_controller::take_target_row,
-          &state_controller::finish_target_rows},
-         {names.member_table, &state_controller::take_member_row,
-          &state_controller::finish_member_rows}}};
-    try {
-        for (const auto& [name, take, finished] : tables) {
-            for (const auto& each : snapshot.at("tables").at(name)) {
-                io::store_row row;
-                row.key = each.at("key").get<std::string>();
-                row.value = each.at("value").get<std::string>();
-                row.revision = each.at("revision").get<std::uint64_t>();
-                row.removed = each.at("removed").get<bool>();
-                if (store_row(tables_[name], row))
-                    (this->*take)(row);
+    for (const auto& row : rows) {
+        const auto list = json::parse(row.value, nullptr, false);
+        if (!list.is_array()) {
+            report("members_unreadable", row.key, "not a list");
+            continue;
+        }
+        for (const auto& each : list) {
+            try {
+                known_.members.on_known(parse_member(each), loop_.now());
+            } catch (const error& failure) {
+                report("members_unreadable", row.key, failure.what());
             }
-            (this->*finished)();
         }
-    } catch (const json::exception& failure) {
-        throw error("read snapshot", "", failure.what());
     }
 }
 
-void state_controller::on_back(const std::string& table)
+void state_controller::write_members()
 {
-    if (table == language_.rows.target_table)
-        known_.targets.on_list_back(loop_.now());
-    log_.state(io::log_level::info, "store_back", {{"table", table}});
+    json list = json::array({to_json(known_.members.self())});
+    for (const auto& peer : known_.members.live_peers(loop_.now()))
+        list.push_back(to_json(peer.who));
+    store_.put(language_.rows.member_table, member_list_key, list.dump(),
+               [this, alive = alive_](const io::store_result& result) {
+                   const auto* failure =
+                       std::get_if<io::store_failure>(&result);
+                   if (*alive && failure)
+                       report("members_not_written", "", failure->what);
+               });
 }
 
-void state_controller::report(const char* what, const std::string& key,
-                              const error& failure)
+void state_controller::report(std::string_view event, const std::string& key,
+                              std::string_view reason)
 {
-    log_.state(io::log_level::warning, what,
-               {{"key", key}, {"reason", failure.what()}});
+    log_.state(io::log_level::warning, event,
+               {{"key", key}, {"reason", std::string(reason)}});
 }
 
 } // namespace vanillapost::router
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state_controller.hpp
@@ -4,74 +4,105 @@
 #include "knowledge.hpp"
 #include "platform_language.hpp"
 #include "router_log.hpp"
+#include "state_table.hpp"
 #include "vanillapost/src/io/table_follower.hpp"
 
 #include <memory>
-#include <nlohmann/json.hpp>
 
 namespace vanillapost::router {
 
-/// Keeps the knowledge up to date with the platform's store: configuration,
-/// evacuations, targets and members. Rows that cannot be read are left out.
+/// The tables whose changes instances pass on to each other.
+enum class shared_table
+{
+    operators,
+    targets
+};
+
+/// Keeps the knowledge up to date with the platform's store, which it follows
+/// itself or hears of from peers. Rows that cannot be read are left out.
 class state_controller
 {
 public:
+    /// Called with changes that were read from the store here.
+    using change_handler =
+        std::function<void(shared_table, const state_difference&)>;
+
     state_controller(io::event_loop& loop, io::row_store& store,
                      const platform_language& language, knowledge& known,
-                     router_log& log, random_engine random);
+                     router_log& log, random_engine random,
+                     change_handler on_change);
+
+    void follow_store();
+    void stop_following();
 
-    void start();
+    bool is_following() const
+    {
+        return following_;
+    }
+
+    /// What was last found of the store; forgotten after a while without
+    /// asking.
+    store_access access() const;
+
+    state_revisions revisions() const;
 
-    /// Withdraws this instance's row. Best effort: peers notice anyway.
-    void leave();
+    /// What an instance lacks that knows the tables up to `known`.
+    nlohmann::json difference(const state_revisions& known) const;
 
-    bool is_store_reachable() const;
+    /// Takes over what a peer knows.
+    /// \throws error  when it cannot be read
+    void merge(const nlohmann::json& difference);
 
-    /// Newest change of the store that is known here.
-    std::uint64_t revision() const;
+    /// Takes over changes of one table, unless some before them are missing.
+    void merge(shared_table which, const state_difference& difference);
 
-    /// What is known, for a peer that cannot reach the store.
-    nlohmann::json snapshot() const;
+    /// Reads the list of members that an instance left in the store.
+    void read_members();
 
-    /// Takes over what a peer knows and this instance does not.
-    /// \throws error  when the snapshot cannot be read
-    void merge(const nlohmann::json& snapshot);
+    /// Leaves the list of members for instances that know none.
+    void write_members();
 
 private:
-    struct table_state
+    struct table
     {
-        std::map<std::string, io::store_row> rows;
-        std::uint64_t revision = 0;
+        std::string name;
+        state_table state;
         std::unique_ptr<io::table_follower> follower;
+        void (state_controller::*take)(const io::store_row&) = nullptr;
+        void (state_controller::*finish)() = nullptr;
     };
 
-    table_state&
-    add_table(const std::string& name,
-              void (state_controller::*changed)(const io::store_row&),
-              void (state_controller::*finished)());
-    bool store_row(table_state& table, const io::store_row& row);
+    table& table_of(shared_table which)
+    {
+        return which == shared_table::operators ? operators_ : targets_;
+    }
+
+    void set_up(shared_table which, const std::string& name,
+                io::row_store& store, random_engine random);
+    void apply(shared_table which, const state_difference& difference,
+               bool from_store);
     void take_operator_row(const io::store_row& row);
     void take_target_row(const io::store_row& row);
-    void take_member_row(const io::store_row& row);
     void finish_operator_rows();
     void finish_target_rows();
-    void finish_member_rows();
-    void apply_removals();
-    void register_self();
-    void on_back(const std::string& table);
-    void report(const char* what, const std::string& key, const error& failure);
+    void take_member_rows(const std::vector<io::store_row>& rows);
+    void note_access(bool works);
+    void report(std::string_view event, const std::string& key,
+                std::string_view reason);
 
     io::event_loop& loop_;
     io::row_store& store_;
     const platform_language& language_;
     knowledge& known_;
     router_log& log_;
-    random_engine random_;
-    std::map<std::string, table_state> tables_;
+    change_handler on_change_;
+    table operators_;
+    table targets_;
     io::timer removal_timer_;
-    io::timer register_timer_;
     std::shared_ptr<bool> alive_; ///< false once destroyed; held by callbacks
-    bool leaving_ = false;
+    bool following_ = false;
+    bool works_ = false;
+    std::optional<time_point> tried_at_;
 };
 
 } // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/state_table.cpp
@@ -0,0 +1,127 @@
+#include "state_table.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace vanillapost::router {
+
+namespace {
+
+using nlohmann::json;
+
+/// Instances learn of removals within seconds; one that was away for longer
+/// gets the whole table.
+constexpr duration removal_memory = std::chrono::minutes(2);
+
+io::store_row parse_row(const json& document)
+{
+    io::store_row row;
+    row.key = document.at("key").get<std::string>();
+    row.value = document.at("value").get<std::string>();
+    row.revision = document.at("revision").get<std::uint64_t>();
+    row.removed = document.at("removed").get<bool>();
+    return row;
+}
+
+} // namespace
+
+json to_json(const state_difference& difference)
+{
+    json rows = json::array();
+    for (const auto& row : difference.rows)
+        rows.push_back({{"key", row.key},
+                        {"value", row.value},
+                        {"revision", row.revision},
+                        {"removed", row.removed}});
+    return {{"after", difference.after},
+            {"revision", difference.revision},
+            {"whole", difference.whole},
+            {"rows", std::move(rows)}};
+}
+
+state_difference parse_state_difference(const json& document)
+{
+    try {
+        state_difference result;
+        result.after = document.at("after").get<std::uint64_t>();
+        result.revision = document.at("revision").get<std::uint64_t>();
+        result.whole = document.at("whole").get<bool>();
+        for (const auto& row : document.at("rows"))
+            result.rows.push_back(parse_row(row));
+        return result;
+    } catch (const json::exception& failure) {
+        throw error("read state", "", failure.what());
+    }
+}
+
+std::vector<io::store_row>
+state_table::apply(const state_difference& difference, time_point now)
+{
+    std::vector<io::store_row> changed;
+    std::set<std::string_view> listed;
+    for (const auto& row : difference.rows) {
+        listed.insert(row.key);
+        if (put(row, now))
+            changed.push_back(row);
+    }
+    if (difference.whole) {
+        for (const auto& [key, row] : rows_) {
+            const bool gone = !row.removed && !listed.contains(key) &&
+                              row.revision <= difference.revision;
+            if (gone)
+                changed.push_back({key, "", difference.revision, true});
+        }
+        for (const auto& row : changed)
+            if (row.removed)
+                put(row, now);
+    }
+    revision_ = std::max(revision_, difference.revision);
+    forget_removals(now);
+    return changed;
+}
+
+bool state_table::put(const io::store_row& row, time_point now)
+{
+    const auto [stored, added] = rows_.try_emplace(row.key, row);
+    if (!added) {
+        if (stored->second.revision >= row.revision)
+            return false;
+        stored->second = row;
+    }
+    if (row.removed)
+        removals_.push_back({row.key, row.revision, now});
+    return true;
+}
+
+void state_table::forget_removals(time_point now)
+{
+    const auto old = std::ranges::find_if(removals_, [&](const auto& each) {
+        return now - each.at < removal_memory;
+    });
+    for (auto each = removals_.begin(); each != old; ++each) {
+        const auto row = rows_.find(each->key);
+        const bool still_removed = row != rows_.end() && row->second.removed &&
+                                   row->second.revision == each->revision;
+        if (still_removed)
+            rows_.erase(row);
+        forgotten_ = std::max(forgotten_, each->revision);
+    }
+    removals_.erase(removals_.begin(), old);
+}
+
+state_difference state_table::since(std::uint64_t revision) const
+{
+    state_difference result;
+    result.after = revision;
+    result.revision = revision_;
+    result.whole = revision == 0 || revision < forgotten_;
+    for (const auto& [key, row] : rows_) {
+        const bool wanted =
+            result.whole ? !row.removed : row.revision > revision;
+        if (wanted)
+            result.rows.push_back(row);
+    }
+    return result;
+}
+
+} // namespace vanillapost::router
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -24,5 +24,7 @@
 
 # The adapter to the users' platform, and parts of the router.
 target_link_libraries(test_platform_decode PRIVATE vanillapost_platform)
-target_sources(test_router_settings PRIVATE apps/router/router_settings.cpp)
-target_include_directories(test_router_settings PRIVATE apps/router)
+foreach(part router_settings state_table)
+  target_sources(test_${part} PRIVATE apps/router/${part}.cpp)
+  target_include_directories(test_${part} PRIVATE apps/router)
+endforeach()
--- a/include/vanillapost/members.hpp
+++ b/include/vanillapost/members.hpp
@@ -8,5 +8,6 @@
 #include "src/members/member.hpp"
 #include "src/members/member_codec.hpp"
 #include "src/members/member_table.hpp"
+#include "src/members/reader_choice.hpp"
 
 #endif
--- a/include/vanillapost/src/io/table_follower.hpp
+++ b/include/vanillapost/src/io/table_follower.hpp
@@ -14,15 +14,15 @@
     /// How long the store holds back an answer while nothing changes.
     duration longest_wait = std::chrono::seconds(10);
     /// Pause between two answers, so that many changes come in one.
-    duration batch_delay = std::chrono::milliseconds(60);
+    duration batch_delay = std::chrono::milliseconds(150);
     duration first_retry = std::chrono::milliseconds(100);
     duration longest_retry = std::chrono::milliseconds(800);
 };
 
 struct table_follower_handlers
 {
-    /// The whole table.
-    std::function<void(const std::vector<store_row>&)> on_read;
+    /// The whole table, and the store's revision when it was read.
+    std::function<void(const std::vector<store_row>&, std::uint64_t)> on_read;
     /// Rows in the order of their changes.
     std::function<void(const std::vector<store_row>&)> on_changed;
     std::function<void(const store_failure&)> on_lost; ///< once an outage
@@ -41,12 +41,16 @@
     table_follower(const table_follower&) = delete;
     table_follower& operator=(const table_follower&) = delete;
 
-    void start();
+    /// Follows the changes after a revision that is known already; reads the
+    /// whole table first when that is 0.
+    void start(std::uint64_t known_revision = 0);
 
-    /// Revision up to which every change is known; 0 before the first read.
-    std::uint64_t revision() const
+    /// Ends a call that is out, and makes no more.
+    void stop();
+
+    bool is_started() const
     {
-        return revision_;
+        return started_;
     }
 
     bool is_reachable() const
@@ -70,12 +74,13 @@
     random_engine random_;
     table_follower_handlers handlers_;
     timer timer_;
-    std::shared_ptr<bool> alive_; ///< false once destroyed; held by callbacks
+    std::shared_ptr<bool> alive_; ///< false once stopped; held by callbacks
     std::vector<store_row> pages_;
     std::uint64_t read_revision_ = 0; ///< of the first page being read
     std::uint64_t revision_ = 0;
     bool needs_read_ = true;
     bool reachable_ = true;
+    bool started_ = false;
     int failures_ = 0;
 };
 
--- a/include/vanillapost/src/members/member.hpp
+++ b/include/vanillapost/src/members/member.hpp
@@ -21,15 +21,39 @@
     bool operator==(const member&) const = default;
 };
 
-/// What an instance tells its peers about twice a second.
-struct member_status
+/// What an instance last found of the platform's store.
+enum class store_access
 {
-    member who;
-    bool ready = false;   ///< it takes requests
-    bool leaving = false; ///< it ends soon
-    std::uint64_t configuration_version = 0;
-    std::uint64_t state_revision = 0; ///< newest change of the store it has
-    bool store_reachable = false;
+    untried, ///< it has not asked lately
+    works,
+    lost
+};
+
+/// Up to where an instance knows the platform's tables, by revision.
+struct state_revisions
+{
+    std::uint64_t operators = 0; ///< configuration and evacuations
+    std::uint64_t targets = 0;
+
+    bool operator==(const state_revisions&) const = default;
+
+    /// Whether `other` knows of changes that are not known here.
+    bool is_behind(const state_revisions& other) const
+    {
+        return operators < other.operators || targets < other.targets;
+    }
+};
+
+/// What an instance tells its peers again and again.
+struct member_pulse
+{
+    entry_id name;
+    std::string incarnation;
+    bool ready = false;     ///< it takes requests
+    bool leaving = false;   ///< it ends soon
+    bool following = false; ///< it follows the store itself
+    store_access store = store_access::untried;
+    state_revisions revisions;
 };
 
 } // namespace vanillapost
--- a/include/vanillapost/src/members/member_codec.hpp
+++ b/include/vanillapost/src/members/member_codec.hpp
@@ -8,11 +8,13 @@
 namespace vanillapost {
 
 nlohmann::json to_json(const member& who);
-nlohmann::json to_json(const member_status& status);
+
+/// With names of one letter: a pulse goes to every peer about once a second.
+nlohmann::json to_json(const member_pulse& pulse);
 
 /// \throws error  when a field is missing or of another type
 member parse_member(const nlohmann::json& document);
-member_status parse_member_status(const nlohmann::json& document);
+member_pulse parse_member_pulse(const nlohmann::json& document);
 
 } // namespace vanillapost
 
--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -14,15 +14,25 @@
 struct member_table_settings
 {
     duration heartbeat = std::chrono::milliseconds(500);
-    /// Without a heartbeat for so long a member counts as dead.
-    duration silence_limit = std::chrono::milliseconds(1700);
-    /// A listed member that was never heard is forgotten after this.
+    /// Heartbeats that may be missed before a member counts as dead.
+    double silence_heartbeats = 3.4;
+    /// A member that is silent for so long is forgotten.
     duration forget_after = std::chrono::seconds(60);
-    /// Members beyond which heartbeats are sent more rarely.
-    std::size_t members_at_full_rate = 50;
+    /// Members beyond which heartbeats are sent more rarely, so that their
+    /// cost to an instance stays the same.
+    std::size_t members_at_full_rate = 24;
+    duration longest_heartbeat = std::chrono::milliseconds(1000);
 };
 
-/// The instances, from the platform's list and their heartbeats.
+/// A member and what it said last.
+struct known_member
+{
+    member who;
+    member_pulse pulse;
+    duration silent_for{};
+};
+
+/// The instances, from the platform's store and their heartbeats.
 ///
 /// A member that is dead is soon found: callers that are told its address lose
 /// time on it. One that is only silent is kept and heard again.
@@ -31,30 +41,23 @@
 public:
     member_table(member self, const member_table_settings& settings = {});
 
-    /// From the platform's list, or from a peer. Tells only how it is reached.
+    /// How a member is reached, from itself, a peer or the store.
     void on_known(const member& who, time_point now);
 
-    /// \return whether the set of live or ready members changed
-    bool on_status(const member_status& status, time_point now);
-
-    /// The instance's row was withdrawn.
-    bool on_withdrawn(const entry_id& name);
+    /// \return false when the sender is unknown: ask it who it is
+    bool on_pulse(const member_pulse& pulse, time_point now);
 
-    /// Drops members that are silent for long; returns whether the set of
-    /// live members changed since the last call.
+    /// Whether the set of live or ready members changed since the last call.
     bool advance(time_point now);
 
-    /// Peers to send a heartbeat to: all that are known.
+    /// All that are known, to send heartbeats to.
     std::vector<member> peers() const;
 
-    /// Live members that take requests, without this one.
-    std::vector<member> ready_peers(time_point now) const;
-
-    /// Live members, without this one.
-    std::vector<member_status> live_peers(time_point now) const;
+    /// Members that live, without this one.
+    std::vector<known_member> live_peers(time_point now) const;
 
-    /// Silent for as long as `forget_after`.
-    std::vector<member> forgotten(time_point now) const;
+    /// Members that live and take requests, without this one.
+    std::vector<member> ready_peers(time_point now) const;
 
     duration heartbeat_interval() const;
 
@@ -66,10 +69,12 @@
 private:
     struct entry
     {
-        member_status status;
+        member who;
+        member_pulse pulse;
         std::optional<time_point> heard;
         time_point known_since{};
         bool was_live = false;
+        bool was_ready = false;
     };
 
     bool is_live(const entry& each, time_point now) const;
@@ -77,6 +82,7 @@
     member self_;
     member_table_settings settings_;
     std::map<entry_id, entry> peers_;
+    bool changed_ = false;
 };
 
 } // namespace vanillapost
--- a/src/io/table_follower.cpp
+++ b/src/io/table_follower.cpp
@@ -1,6 +1,7 @@
 #include "vanillapost/src/io/table_follower.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillapost::io {
 
@@ -11,20 +12,34 @@
                                table_follower_handlers handlers)
     : loop_(loop), store_(store), table_(std::move(table)), settings_(settings),
       random_(random), handlers_(std::move(handlers)),
-      timer_(loop, [this] { next(); }), alive_(std::make_shared<bool>(true))
+      timer_(loop, [this] { next(); }), alive_(std::make_shared<bool>(false))
 {
 }
 
 table_follower::~table_follower()
 {
-    *alive_ = false;
+    stop();
 }
 
-void table_follower::start()
+void table_follower::start(std::uint64_t known_revision)
 {
+    stop();
+    started_ = true;
+    alive_ = std::make_shared<bool>(true);
+    revision_ = known_revision;
+    needs_read_ = known_revision == 0;
+    reachable_ = true;
+    failures_ = 0;
     next();
 }
 
+void table_follower::stop()
+{
+    started_ = false;
+    *alive_ = false;
+    timer_.cancel();
+}
+
 void table_follower::next()
 {
     if (!needs_read_) {
@@ -63,9 +78,10 @@
     on_answer();
     needs_read_ = false;
     revision_ = std::max(revision_, read_revision_);
-    handlers_.on_read(pages_);
-    pages_.clear();
-    follow();
+    const auto rows = std::exchange(pages_, {});
+    handlers_.on_read(rows, read_revision_);
+    if (started_)
+        follow();
 }
 
 void table_follower::follow()
@@ -92,7 +108,8 @@
     revision_ = std::max(revision_, changes.revision);
     if (!changes.rows.empty())
         handlers_.on_changed(changes.rows);
-    timer_.start_once(settings_.batch_delay);
+    if (started_)
+        timer_.start_once(settings_.batch_delay);
 }
 
 void table_follower::on_answer()
--- a/src/members/member_codec.cpp
+++ b/src/members/member_codec.cpp
@@ -22,14 +22,16 @@
             {"query_address", who.query_address}};
 }
 
-json to_json(const member_status& status)
+json to_json(const member_pulse& pulse)
 {
-    return {{"member", to_json(status.who)},
-            {"ready", status.ready},
-            {"leaving", status.leaving},
-            {"configuration_version", status.configuration_version},
-            {"state_revision", status.state_revision},
-            {"store_reachable", status.store_reachable}};
+    return {{"n", pulse.name.value},
+            {"i", pulse.incarnation},
+            {"r", pulse.ready},
+            {"l", pulse.leaving},
+            {"f", pulse.following},
+            {"s", static_cast<int>(pulse.store)},
+            {"o", pulse.revisions.operators},
+            {"t", pulse.revisions.targets}};
 }
 
 member parse_member(const json& document)
@@ -48,19 +50,22 @@
     }
 }
 
-member_status parse_member_status(const json& document)
+member_pulse parse_member_pulse(const json& document)
 {
     try {
-        member_status status;
-        status.who = parse_member(document.at("member"));
-        status.ready = document.at("ready").get<bool>();
-        status.leaving = document.at("leaving").get<bool>();
-        status.configuration_version =
-            document.at("configuration_version").get<std::uint64_t>();
-        status.state_revision =
-            document.at("state_revision").get<std::uint64_t>();
-        status.store_reachable = document.at("store_reachable").get<bool>();
-        return status;
+        member_pulse pulse;
+        pulse.name.value = document.at("n").get<std::string>();
+        pulse.incarnation = document.at("i").get<std::string>();
+        pulse.ready = document.at("r").get<bool>();
+        pulse.leaving = document.at("l").get<bool>();
+        pulse.following = document.at("f").get<bool>();
+        const auto store = document.at("s").get<int>();
+        if (store < 0 || store > static_cast<int>(store_access::lost))
+            throw error(step, pulse.name.value, "unknown access to the store");
+        pulse.store = static_cast<store_access>(store);
+        pulse.revisions.operators = document.at("o").get<std::uint64_t>();
+        pulse.revisions.targets = document.at("t").get<std::uint64_t>();
+        return pulse;
     } catch (const json::exception& failure) {
         throw error(step, "", failure.what());
     }
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -1,6 +1,7 @@
 #include "vanillapost/src/members/member_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillapost {
 
@@ -14,49 +15,43 @@
     if (who.name == self_.name)
         return;
     auto [found, added] = peers_.try_emplace(who.name);
-    if (!added && found->second.heard)
-        return;
-    found->second.status.who = who;
-    if (added)
-        found->second.known_since = now;
-}
-
-bool member_table::on_status(const member_status& status, time_point now)
-{
-    if (status.who.name == self_.name)
-        return false;
-    auto [found, added] = peers_.try_emplace(status.who.name);
     auto& peer = found->second;
-    if (added)
-        peer.known_since = now;
-    const bool changed =
-        added || !is_live(peer, now) || peer.status.ready != status.ready ||
-        peer.status.leaving != status.leaving || peer.status.who != status.who;
-    peer.status = status;
-    peer.heard = now;
-    return changed;
+    if (!added && peer.who == who)
+        return;
+    // Another process under that name: what the old one said is void.
+    peer = {};
+    peer.who = who;
+    peer.known_since = now;
+    changed_ = true;
 }
 
-bool member_table::on_withdrawn(const entry_id& name)
+bool member_table::on_pulse(const member_pulse& pulse, time_point now)
 {
-    const auto found = peers_.find(name);
-    // A live process with that name has written a new row or soon does.
-    if (found == peers_.end() || found->second.was_live)
+    if (pulse.name == self_.name)
+        return true;
+    const auto found = peers_.find(pulse.name);
+    if (found == peers_.end() ||
+        found->second.who.incarnation != pulse.incarnation)
         return false;
-    peers_.erase(found);
+    found->second.pulse = pulse;
+    found->second.heard = now;
     return true;
 }
 
 bool member_table::advance(time_point now)
 {
-    bool changed = false;
+    bool changed = std::exchange(changed_, false);
     for (auto& [name, peer] : peers_) {
         const bool live = is_live(peer, now);
-        changed = changed || live != peer.was_live;
+        const bool ready = live && peer.pulse.ready;
+        changed = changed || live != peer.was_live || ready != peer.was_ready;
         peer.was_live = live;
+        peer.was_ready = ready;
     }
-    for (const auto& gone : forgotten(now))
-        peers_.erase(gone.name);
+    std::erase_if(peers_, [&](const auto& each) {
+        const auto since = each.second.heard.value_or(each.second.known_since);
+        return now - since > settings_.forget_after;
+    });
     return changed;
 }
 
@@ -64,38 +59,25 @@
 {
     std::vector<member> result;
     for (const auto& [name, peer] : peers_)
-        result.push_back(peer.status.who);
+        result.push_back(peer.who);
     return result;
 }
 
-std::vector<member> member_table::ready_peers(time_point now) const
+std::vector<known_member> member_table::live_peers(time_point now) const
 {
-    std::vector<member> result;
-    for (const auto& [name, peer] : peers_) {
-        const auto& status = peer.status;
-        if (is_live(peer, now) && status.ready && !status.leaving)
-            result.push_back(status.who);
-    }
-    return result;
-}
-
-std::vector<member_status> member_table::live_peers(time_point now) const
-{
-    std::vector<member_status> result;
+    std::vector<known_member> result;
     for (const auto& [name, peer] : peers_)
         if (is_live(peer, now))
-            result.push_back(peer.status);
+            result.push_back({peer.who, peer.pulse, now - *peer.heard});
     return result;
 }
 
-std::vector<member> member_table::forgotten(time_point now) const
+std::vector<member> member_table::ready_peers(time_point now) const
 {
     std::vector<member> result;
-    for (const auto& [name, peer] : peers_) {
-        const auto since = peer.heard.value_or(peer.known_since);
-        if (now - since > settings_.forget_after)
-            result.push_back(peer.status.who);
-    }
+    for (const auto& [name, peer] : peers_)
+        if (is_live(peer, now) && peer.pulse.ready)
+            result.push_back(peer.who);
     return result;
 }
 
@@ -103,16 +85,16 @@
 {
     const auto members = static_cast<std::int64_t>(peers_.size() + 1);
     const auto full = static_cast<std::int64_t>(settings_.members_at_full_rate);
-    return settings_.heartbeat * std::max(members, full) / full;
+    return std::min(settings_.heartbeat * std::max(members, full) / full,
+                    settings_.longest_heartbeat);
 }
 
 bool member_table::is_live(const entry& each, time_point now) const
 {
-    if (!each.heard || each.status.leaving)
+    if (!each.heard || each.pulse.leaving)
         return false;
-    const auto limit = settings_.silence_limit *
-                       (heartbeat_interval().count()) /
-                       settings_.heartbeat.count();
+    const auto limit = std::chrono::duration_cast<duration>(
+        heartbeat_interval() * settings_.silence_heartbeats);
     return now - *each.heard <= limit;
 }
 
--- /dev/null
+++ b/src/members/reader_choice.cpp
@@ -0,0 +1,90 @@
+#include "vanillapost/src/members/reader_choice.hpp"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace vanillapost {
+
+namespace {
+
+struct rank
+{
+    bool lost;
+    std::uint64_t weight;
+
+    auto operator<=>(const rank&) const = default;
+};
+
+rank rank_of(const entry_id& name, store_access store)
+{
+    return {store == store_access::lost,
+            XXH64(name.value.data(), name.value.size(), 0)};
+}
+
+} // namespace
+
+reader_choice::reader_choice(time_point start, const reader_settings& settings)
+    : settings_(settings), start_(start)
+{
+}
+
+bool reader_choice::should_follow(const entry_id& self, store_access store,
+                                  const state_revisions& revisions,
+                                  std::span<const known_member> live,
+                                  time_point now)
+{
+    const bool behind = is_behind(revisions, live, now);
+    if (behind || must_follow(self, store, live, now))
+        needed_at_ = now;
+    return needed_at_ && now <= *needed_at_ + settings_.release_delay;
+}
+
+bool reader_choice::must_follow(const entry_id& self, store_access store,
+                                std::span<const known_member> live,
+                                time_point now) const
+{
+    const bool settled = now >= start_ + settings_.settling_time;
+    if (settled && is_reader(self, store, live))
+        return true;
+    const bool served = std::ranges::any_of(live, [&](const auto& each) {
+        return each.pulse.following &&
+               each.pulse.store == store_access::works &&
+               each.silent_for <= settings_.silence_limit;
+    });
+    // Without any working reader those that have not tried yet do, and the
+    // ones that found the store lost leave it to the readers to ask again.
+    return !served && store != store_access::lost &&
+           now >= start_ + settings_.patience;
+}
+
+bool reader_choice::is_reader(const entry_id& self, store_access store,
+                              std::span<const known_member> live) const
+{
+    const auto own = rank_of(self, store);
+    const auto before = std::ranges::count_if(live, [&](const auto& each) {
+        return rank_of(each.who.name, each.pulse.store) < own;
+    });
+    return static_cast<std::size_t>(before) < settings_.readers;
+}
+
+bool reader_choice::is_behind(const state_revisions& revisions,
+                              std::span<const known_member> live,
+                              time_point now)
+{
+    const bool behind = std::ranges::any_of(live, [&](const auto& each) {
+        return revisions.is_behind(each.pulse.revisions);
+    });
+    // Who still learns something is only a step behind the newest change.
+    const bool learnt = revisions != seen_;
+    seen_ = revisions;
+    if (!behind || learnt) {
+        behind_since_.reset();
+        if (!behind)
+            return false;
+    }
+    if (!behind_since_)
+        behind_since_ = now;
+    return now - *behind_since_ > settings_.behind_limit;
+}
+
+} // namespace vanillapost
--- a/test/attempts.cpp
+++ b/test/attempts.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 const std::vector<attempt_outcome> outcomes = {
-    attempt_not_sent{"refused"}, attempt_refused{503}, attempt_misdirected{},
+    attempt_not_sent{"refused"}, attempt_refused{503},  attempt_misdirected{},
     attempt_answered{200},       attempt_answered{500}, attempt_lost{"reset"}};
 
 template <class Step>
@@ -111,8 +111,7 @@
 {
     attempt_ledger ledger(false, 2);
     ledger.on_started();
-    EXPECT_TRUE(
-        is<step_deliver>(ledger.on_ended(attempt_answered{500}, true)));
+    EXPECT_TRUE(is<step_deliver>(ledger.on_ended(attempt_answered{500}, true)));
 }
 
 TEST(Attempts, RefusalsOfTargetsEndAfterAFew)
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -12,88 +12,240 @@
 
 member make_member(const std::string& name, const std::string& data_centre)
 {
-    return {{name}, "1",           {data_centre}, name + ":1",
-            "127.0.0.1:2", "127.0.0.1:3"};
+    return {{name},      "1",           {data_centre},
+            name + ":1", "127.0.0.1:2", "127.0.0.1:3"};
 }
 
-member_status make_status(const std::string& name)
+member_pulse make_pulse(const std::string& name)
 {
-    member_status made;
-    made.who = make_member(name, "d1");
+    member_pulse made;
+    made.name = {name};
+    made.incarnation = "1";
     made.ready = true;
     return made;
 }
 
-TEST(Members, AListedMemberIsNotToldBeforeItIsHeard)
+/// A table that knows `count` members, all just heard.
+member_table heard(int count)
 {
     member_table table(make_member("self", "d1"));
+    for (int i = 0; i < count; ++i) {
+        const auto name = "m" + std::to_string(i);
+        table.on_known(make_member(name, "d1"), start);
+        table.on_pulse(make_pulse(name), start);
+    }
+    return table;
+}
+
+TEST(Members, AKnownMemberIsNotToldBeforeItIsHeard)
+{
+    member_table table(make_member("self", "d1"));
+    EXPECT_FALSE(table.on_pulse(make_pulse("a"), start));
     table.on_known(make_member("a", "d1"), start);
     EXPECT_TRUE(table.ready_peers(start).empty());
     EXPECT_EQ(table.peers().size(), 1u);
-    EXPECT_TRUE(table.on_status(make_status("a"), start));
+    EXPECT_TRUE(table.on_pulse(make_pulse("a"), start));
     EXPECT_EQ(table.ready_peers(start).size(), 1u);
 }
 
 TEST(Members, ASilentMemberIsDeadUntilItIsHeardAgain)
 {
-    member_table table(make_member("self", "d1"));
-    table.on_status(make_status("a"), start);
+    auto table = heard(1);
+    EXPECT_TRUE(table.advance(start));
+    EXPECT_FALSE(table.advance(start + 1600ms));
     EXPECT_EQ(table.ready_peers(start + 1600ms).size(), 1u);
+    EXPECT_TRUE(table.advance(start + 1800ms));
     EXPECT_TRUE(table.ready_peers(start + 1800ms).empty());
-    EXPECT_TRUE(table.on_status(make_status("a"), start + 5s));
+    EXPECT_TRUE(table.on_pulse(make_pulse("m0"), start + 5s));
+    EXPECT_TRUE(table.advance(start + 5s));
     EXPECT_EQ(table.ready_peers(start + 5s).size(), 1u);
 }
 
 TEST(Members, ALeavingMemberIsNotToldAnyMore)
 {
-    member_table table(make_member("self", "d1"));
-    table.on_status(make_status("a"), start);
-    auto leaving = make_status("a");
+    auto table = heard(1);
+    auto leaving = make_pulse("m0");
     leaving.leaving = true;
-    EXPECT_TRUE(table.on_status(leaving, start + 100ms));
+    table.on_pulse(leaving, start + 100ms);
     EXPECT_TRUE(table.ready_peers(start + 100ms).empty());
 }
 
+TEST(Members, ANewProcessUnderAnOldNameIsAskedWhoItIs)
+{
+    auto table = heard(1);
+    auto restarted = make_pulse("m0");
+    restarted.incarnation = "2";
+    EXPECT_FALSE(table.on_pulse(restarted, start + 1s));
+}
+
 TEST(Members, HeartbeatsSlowDownWithTheirNumberAndSoDoesTheirJudge)
 {
-    member_table table(make_member("self", "d1"));
-    for (int i = 0; i < 99; ++i)
-        table.on_status(make_status("m" + std::to_string(i)), start);
+    const auto table = heard(99);
     EXPECT_EQ(table.heartbeat_interval(), 1s);
     EXPECT_EQ(table.ready_peers(start + 3s).size(), 99u);
 }
 
-TEST(Members, StatusSurvivesItsEncoding)
+TEST(Members, APulseSurvivesItsEncoding)
 {
-    auto status = make_status("a");
-    status.configuration_version = 7;
-    status.state_revision = 42;
-    status.store_reachable = true;
-    const auto read = parse_member_status(to_json(status));
-    EXPECT_EQ(read.who, status.who);
-    EXPECT_EQ(read.configuration_version, 7u);
-    EXPECT_EQ(read.state_revision, 42u);
-    EXPECT_TRUE(read.ready && read.store_reachable && !read.leaving);
+    auto pulse = make_pulse("a");
+    pulse.following = true;
+    pulse.store = store_access::lost;
+    pulse.revisions = {7, 42};
+    const auto read = parse_member_pulse(to_json(pulse));
+    EXPECT_EQ(read.name, pulse.name);
+    EXPECT_EQ(read.revisions, pulse.revisions);
+    EXPECT_EQ(read.store, store_access::lost);
+    EXPECT_TRUE(read.ready && read.following && !read.leaving);
 }
 
-TEST(Members, AStatusWithAFieldOfAnotherTypeIsRefused)
+TEST(Members, APulseWithAFieldOfAnotherTypeIsRefused)
 {
-    const auto whole = to_json(make_status("a"));
+    const auto whole = to_json(make_pulse("a"));
     for (const auto& [name, value] : whole.items()) {
         auto broken = whole;
         broken[name] = nlohmann::json::array();
-        EXPECT_THROW(parse_member_status(broken), error) << name;
+        EXPECT_THROW(parse_member_pulse(broken), error) << name;
         broken.erase(name);
-        EXPECT_THROW(parse_member_status(broken), error) << name;
+        EXPECT_THROW(parse_member_pulse(broken), error) << name;
+    }
+    auto unknown = whole;
+    unknown["s"] = 9;
+    EXPECT_THROW(parse_member_pulse(unknown), error);
+}
+
+/// What one of several instances decides about following the store.
+struct chooser
+{
+    reader_choice choice{start - 10s};
+    entry_id self;
+    store_access store = store_access::untried;
+    state_revisions revisions{1, 1};
+
+    explicit chooser(const std::string& name) : self{name}
+    {
+    }
+
+    bool follows(const std::vector<known_member>& live, time_point now = start)
+    {
+        return choice.should_follow(self, store, revisions, live, now);
+    }
+};
+
+known_member live_peer(const std::string& name, bool following,
+                       store_access store = store_access::works)
+{
+    auto pulse = make_pulse(name);
+    pulse.following = following;
+    pulse.store = store;
+    pulse.revisions = {1, 1};
+    return {make_member(name, "d1"), pulse, 0ms};
+}
+
+TEST(ReaderChoice, AFewFollowTheStoreForAll)
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 50; ++i)
+        names.push_back("m" + std::to_string(i));
+    int following = 0;
+    for (const auto& name : names) {
+        std::vector<known_member> live;
+        for (const auto& other : names)
+            if (other != name)
+                live.push_back(live_peer(other, true));
+        following += chooser(name).follows(live);
     }
+    EXPECT_EQ(following, 3);
+}
+
+/// One that is no reader among these.
+chooser idle_chooser(std::vector<known_member>& live)
+{
+    for (int i = 0; i < 20; ++i)
+        live.push_back(live_peer("m" + std::to_string(i), i < 3));
+    for (int i = 0;; ++i) {
+        chooser made("x" + std::to_string(i));
+        if (!made.follows(live))
+            return made;
+    }
+}
+
+// All start together: whoever knows only the seeds would take itself for one
+// of the first.
+TEST(ReaderChoice, WhoHasJustStartedReliesOnReadersThatItHears)
+{
+    const std::vector<known_member> live{live_peer("m0", true)};
+    chooser fresh("x");
+    fresh.choice = reader_choice(start);
+    EXPECT_FALSE(fresh.follows(live, start + 1s));
+    EXPECT_TRUE(fresh.follows(live, start + 2s));
+    chooser alone("x");
+    alone.choice = reader_choice(start);
+    EXPECT_FALSE(alone.follows({}, start + 500ms));
+    EXPECT_TRUE(alone.follows({}, start + 700ms));
+}
+
+TEST(ReaderChoice, WhoLearnsOnIsNotBehind)
+{
+    std::vector<known_member> live;
+    auto idle = idle_chooser(live);
+    for (int i = 0; i < 20; ++i) {
+        live.back().pulse.revisions.targets += 1;
+        EXPECT_FALSE(idle.follows(live, start + i * 100ms));
+        idle.revisions.targets += 1;
+    }
+}
+
+TEST(ReaderChoice, WhoHearsNoReaderFollowsItself)
+{
+    std::vector<known_member> live;
+    auto idle = idle_chooser(live);
+    for (auto& each : live)
+        each.silent_for = 1s;
+    EXPECT_TRUE(idle.follows(live));
+}
+
+TEST(ReaderChoice, ReadersThatLostTheStoreAreReplaced)
+{
+    std::vector<known_member> live;
+    auto idle = idle_chooser(live);
+    for (auto& each : live)
+        if (each.pulse.following)
+            each.pulse.store = store_access::lost;
+    EXPECT_TRUE(idle.follows(live));
+}
+
+// The store is down for all: that all ask it again and again helps nobody.
+TEST(ReaderChoice, WhoFoundTheStoreLostLeavesItToTheReaders)
+{
+    std::vector<known_member> live;
+    auto idle = idle_chooser(live);
+    for (auto& each : live)
+        each.pulse.store = store_access::lost;
+    idle.store = store_access::lost;
+    int following = idle.follows(live);
+    for (int i = 0; i < 20; ++i)
+        following += chooser("m" + std::to_string(i)).follows({});
+    EXPECT_EQ(following, 20) << "alone, each of them asks";
+}
+
+TEST(ReaderChoice, WhoStaysBehindFollowsItself)
+{
+    std::vector<known_member> live;
+    auto idle = idle_chooser(live);
+    live.back().pulse.revisions.targets = 2;
+    EXPECT_FALSE(idle.follows(live, start));
+    EXPECT_FALSE(idle.follows(live, start + 600ms));
+    EXPECT_TRUE(idle.follows(live, start + 800ms));
+    live.back().pulse.revisions.targets = 1;
+    EXPECT_TRUE(idle.follows(live, start + 1s));
+    EXPECT_FALSE(idle.follows(live, start + 4s));
 }
 
 TEST(AddressChoice, CallersAreToldInstancesOfTheirDataCentre)
 {
     random_engine random(1);
-    const std::vector<member> ready{make_member("a", "d1"),
-                                    make_member("b", "d2"),
-                                    make_member("c", "d2")};
+    const std::vector<member> ready{
+        make_member("a", "d1"), make_member("b", "d2"), make_member("c", "d2")};
     EXPECT_EQ(choose_addresses(ready, {"d1"}, random),
               std::vector<std::string>{"a:1"});
     EXPECT_EQ(choose_addresses(ready, {"d2"}, random).size(), 2u);
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -92,8 +92,7 @@
     EXPECT_EQ(std::get<measure_first>(first).targets.size(), 3u);
     for (const auto& id : {"a", "b", "c", "d"})
         p.report(id, 0, 1);
-    EXPECT_TRUE(
-        std::holds_alternative<place_on>(p.choose({true, false})));
+    EXPECT_TRUE(std::holds_alternative<place_on>(p.choose({true, false})));
     const auto later = p.choose({true, false}, start + 100ms);
     EXPECT_TRUE(std::holds_alternative<measure_first>(later));
 }
@@ -150,8 +149,7 @@
     p.report("a", 0, 1);
     p.placer.find({"a"})->on_probe_failed(start);
     EXPECT_TRUE(std::holds_alternative<no_target>(p.choose()));
-    EXPECT_TRUE(
-        std::holds_alternative<measure_first>(p.choose({true, false})));
+    EXPECT_TRUE(std::holds_alternative<measure_first>(p.choose({true, false})));
     p.report("a", 0, 1);
     EXPECT_EQ(p.chosen(), "a");
 }
@@ -178,8 +176,8 @@
     constexpr double bound = rate * 1.5 + 5;
     std::vector<owner_candidate> all;
     for (int i = 0; i < 6; ++i)
-        all.push_back({{"m" + std::to_string(i)},
-                       {"d" + std::to_string(i % 3)}});
+        all.push_back(
+            {{"m" + std::to_string(i)}, {"d" + std::to_string(i % 3)}});
     std::vector<std::vector<owner_candidate>> views;
     for (int i = 0; i < 6; ++i) {
         auto view = all;
@@ -198,8 +196,8 @@
             pacers[static_cast<std::size_t>(restarted)] = {};
         for (std::size_t i = 0; i < 6; ++i) {
             const auto owners = cold_owners({"t"}, {"d1"}, views[i]);
-            const bool owns = std::ranges::find(owners, all[i].name) !=
-                              owners.end();
+            const bool owns =
+                std::ranges::find(owners, all[i].name) != owners.end();
             if (!owns || !pacers[i].may_send(rate, now))
                 continue;
             pacers[i].on_sent(now);
@@ -207,9 +205,8 @@
         }
     }
     for (const auto& from : sent) {
-        const auto in_second = std::ranges::count_if(sent, [&](auto at) {
-            return at >= from && at < from + 1s;
-        });
+        const auto in_second = std::ranges::count_if(
+            sent, [&](auto at) { return at >= from && at < from + 1s; });
         RC_ASSERT(static_cast<double>(in_second) <= bound);
     }
 }
--- a/test/routes.cpp
+++ b/test/routes.cpp
@@ -38,9 +38,9 @@
 
 TEST(Routes, LongestPrefixOfTheHostWins)
 {
-    const route_table table(make_configuration(
-        {make_route("a", "/x/"), make_route("a", "/x/y/"),
-         make_route("b", "/")}));
+    const route_table table(
+        make_configuration({make_route("a", "/x/"), make_route("a", "/x/y/"),
+                            make_route("b", "/")}));
     EXPECT_EQ(found(table, "a", "/x/1"), "a/x/");
     EXPECT_EQ(found(table, "a", "/x/y/1"), "a/x/y/");
     EXPECT_EQ(found(table, "a", "/x/y"), "a/x/");
@@ -61,8 +61,8 @@
     const auto segment = rc::gen::element<std::string>("a", "b", "c");
     const auto path = rc::gen::container<std::vector<std::string>>(segment);
     std::map<std::string, route> routes;
-    for (const auto& parts : *rc::gen::container<std::vector<
-             std::vector<std::string>>>(path)) {
+    for (const auto& parts :
+         *rc::gen::container<std::vector<std::vector<std::string>>>(path)) {
         std::string prefix = "/";
         for (const auto& part : parts)
             prefix += part + "/";
@@ -86,7 +86,8 @@
 
 TEST(Routes, ContradictionsAreNamed)
 {
-    auto twice = make_configuration({make_route("a", "/"), make_route("a", "/")});
+    auto twice =
+        make_configuration({make_route("a", "/"), make_route("a", "/")});
     EXPECT_THROW(route_table{twice}, field_error);
     auto unknown = make_configuration({make_route("a", "/", {{{"u"}, 1}})});
     try {
@@ -106,8 +107,8 @@
 {
     const int heavy = *rc::gen::inRange(1, 20);
     const int light = *rc::gen::inRange(1, 20);
-    const auto rule = make_route(
-        "a", "/", {{{"s"}, double(heavy)}, {{"t"}, double(light)}});
+    const auto rule =
+        make_route("a", "/", {{{"s"}, double(heavy)}, {{"t"}, double(light)}});
     part_picker picker;
     const int rounds = *rc::gen::inRange(1, 200);
     int first = 0;
--- /dev/null
+++ b/test/state_table.cpp
@@ -0,0 +1,133 @@
+#include "state_table.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace vanillapost;
+using namespace vanillapost::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{100s};
+
+io::store_row put(const std::string& key, std::uint64_t revision)
+{
+    return {key, "v" + std::to_string(revision), revision, false};
+}
+
+io::store_row removed(const std::string& key, std::uint64_t revision)
+{
+    return {key, "", revision, true};
+}
+
+std::map<std::string, std::string> present(const state_table& table)
+{
+    std::map<std::string, std::string> result;
+    for (const auto& [key, row] : table.rows())
+        if (!row.removed)
+            result.emplace(key, row.value);
+    return result;
+}
+
+TEST(StateTable, AWholeReadingRemovesWhatItDoesNotName)
+{
+    state_table table;
+    table.apply({0, 5, true, {put("a", 3), put("b", 5)}}, start);
+    const auto changed = table.apply({0, 9, true, {put("b", 5)}}, start);
+    ASSERT_EQ(changed.size(), 1u);
+    EXPECT_TRUE(changed[0].removed);
+    EXPECT_EQ(changed[0].key, "a");
+    EXPECT_EQ(present(table).size(), 1u);
+}
+
+TEST(StateTable, AWholeReadingThatIsOldRemovesNothingNewer)
+{
+    state_table table;
+    table.apply({0, 9, true, {put("a", 9)}}, start);
+    EXPECT_TRUE(table.apply({0, 5, true, {}}, start).empty());
+    EXPECT_EQ(present(table).size(), 1u);
+}
+
+TEST(StateTable, RowsNeverGoBack)
+{
+    state_table table;
+    table.apply({0, 7, true, {put("a", 7)}}, start);
+    EXPECT_TRUE(table.apply({0, 3, false, {put("a", 3)}}, start).empty());
+    EXPECT_TRUE(table.apply({0, 3, false, {removed("a", 3)}}, start).empty());
+    EXPECT_EQ(present(table).at("a"), "v7");
+    EXPECT_EQ(table.revision(), 7u);
+}
+
+TEST(StateTable, AGapIsSeen)
+{
+    state_table table;
+    table.apply({0, 5, true, {put("a", 5)}}, start);
+    EXPECT_TRUE(table.follows({5, 6, false, {}}));
+    EXPECT_FALSE(table.follows({6, 7, false, {}}));
+    EXPECT_TRUE(table.follows({0, 7, true, {}}));
+}
+
+TEST(StateTable, WhoWasAwayForLongGetsTheWholeTable)
+{
+    state_table table;
+    table.apply({0, 5, true, {put("a", 4), put("b", 5)}}, start);
+    table.apply({5, 6, false, {removed("a", 6)}}, start);
+    EXPECT_FALSE(table.since(5).whole);
+    table.apply({6, 7, false, {put("c", 7)}}, start + 10min);
+    EXPECT_TRUE(table.since(5).whole);
+    EXPECT_FALSE(table.since(6).whole);
+}
+
+/// Changes arrive over any ways, late, twice and in any order; what is missing
+/// is asked for. In the end the copies are the same.
+RC_GTEST_PROP(StateTable, CopiesConverge, ())
+{
+    state_table source;
+    std::vector<state_difference> passed_on;
+    const int changes = *rc::gen::inRange(1, 30);
+    for (int i = 1; i <= changes; ++i) {
+        const auto revision = static_cast<std::uint64_t>(i * 2);
+        const auto key = std::string(1, *rc::gen::inRange('a', 'e'));
+        const bool gone = *rc::gen::arbitrary<bool>();
+        const auto before = source.revision();
+        auto rows =
+            source.apply({before,
+                          revision,
+                          false,
+                          {gone ? removed(key, revision) : put(key, revision)}},
+                         start);
+        passed_on.push_back({before, revision, false, std::move(rows)});
+    }
+    state_table copy;
+    const auto order = *rc::gen::container<std::vector<std::size_t>>(
+        rc::gen::inRange<std::size_t>(0, passed_on.size()));
+    for (const auto at : order)
+        if (copy.follows(passed_on[at]))
+            copy.apply(passed_on[at], start);
+    const auto missing =
+        parse_state_difference(to_json(source.since(copy.revision())));
+    RC_ASSERT(copy.follows(missing));
+    copy.apply(missing, start);
+    RC_ASSERT(present(copy) == present(source));
+    RC_ASSERT(copy.revision() == source.revision());
+}
+
+RC_GTEST_PROP(StateTable, SpoiltDifferencesAreRefusedOrRead, ())
+{
+    state_table table;
+    table.apply({0, 5, true, {put("a", 4), put("b", 5)}}, start);
+    auto text = to_json(table.since(0)).dump();
+    text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+        *rc::gen::arbitrary<char>();
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object())
+        return;
+    try {
+        parse_state_difference(document);
+    } catch (const error&) {
+        // Refused, as it should be.
+    }
+}
+
+} // namespace
--- a/test/table_follower.cpp
+++ b/test/table_follower.cpp
@@ -58,7 +58,7 @@
                     .first_retry = 2ms,
                     .longest_retry = 4ms},
                    random_engine(1),
-                   {[this](const std::vector<store_row>& rows) {
+                   {[this](const std::vector<store_row>& rows, std::uint64_t) {
                         events.push_back("read " + std::to_string(rows.size()));
                     },
                     [this](const std::vector<store_row>& rows) {
@@ -140,6 +140,18 @@
     EXPECT_EQ(f.events, (strings{"lost", "back", "read 1"}));
 }
 
+TEST(TableFollower, ResumesWhereAnotherInstanceKnowsTheTable)
+{
+    followed f;
+    f.follower.stop();
+    f.follower.start(7);
+    EXPECT_EQ(f.store.calls.back().kind, "follow");
+    EXPECT_EQ(f.store.calls.back().after, 7u);
+    // The call before the stop is still answered, to nobody.
+    f.store.calls.front().done(rows(5, {"a"}));
+    EXPECT_TRUE(f.events.empty());
+}
+
 TEST(TableFollower, LateAnswersReachNobodyWhoIsGone)
 {
     fake_store store;
