Confirm the store before others rely on a reader; hedge on the target's measured pace

Change: the first call and those during an outage wait 100 ms only, long polls 2 s; access to the store counts as untried until it has answered. Idle connections are closed at once instead of being read on. A request that may run more than once has its target probed while it runs and is hedged when the expected rest is longer than what is left of the objective.

--- a/apps/router/request_task.cpp
+++ b/apps/router/request_task.cpp
@@ -32,10 +32,15 @@
 /// was alive so lately.
 constexpr duration max_silence_once = 500ms;
 constexpr duration max_silence_repeatable = 4s;
-/// A hedge is sent when so much work time is left until the objective.
-constexpr double hedge_lead = 1.25;
-constexpr double hedge_latest = 2.0;
-constexpr double hedge_earliest = 1.15;
+/// The target of a request that may be hedged is probed while it works: first
+/// after this part of the usual work time, then at shorter intervals, a
+/// bounded number of times.
+constexpr double first_look = 0.5;
+constexpr double look_interval = 0.25;
+constexpr duration shortest_look_interval = 25ms;
+constexpr int most_looks = 10;
+/// A new attempt takes somewhat longer than its work on an idle target.
+constexpr double fresh_attempt_factor = 1.1;
 /// Share of the repeat budget that hedges leave to repeats after failures.
 constexpr double hedge_reserve = 0.5;
 constexpr duration shortest_retry_after = 150ms;
@@ -229,6 +234,11 @@
 
 void request_task::on_measured(const target_id& target)
 {
+    const bool watched = state_ == stage::running && !attempts_.empty() &&
+                         watch_at_ != time_point::max() &&
+                         attempts_.front()->target == target;
+    if (watched)
+        consider_hedge();
     if (state_ != stage::measuring)
         return;
     measured_.erase(target);
@@ -256,7 +266,6 @@
     made->sent_at = now;
     made->expected = place.expected;
     made->slowness = about->slowness(now);
-    made->hedge = hedge;
     io::target_call_request request;
     request.bytes = format_request(*record, now);
     request.id = attempt_id();
@@ -280,17 +289,19 @@
     measured_.clear();
     probe_rounds_ = 0;
     measure_until_ = {};
+    started.progress = attempt_progress(
+        context_.statistics.expected_work(rule_),
+        context_.known.placer.current_factor(started.target, now), now);
     if (first && may_repeat(rule_.kind))
-        hedge_at_ = now + hedge_delay(started);
+        watch_at_ =
+            now + scaled(context_.statistics.expected_work(rule_), first_look);
 }
 
-duration request_task::hedge_delay(const attempt& first) const
+duration request_task::watch_interval() const
 {
-    const auto work = context_.statistics.expected_work(rule_);
-    const auto left = arrived_ + rule_.latency_objective - first.sent_at -
-                      scaled(work, hedge_lead);
-    return std::max(std::min(left, scaled(work, hedge_latest)),
-                    scaled(work, hedge_earliest));
+    return std::max(
+        scaled(context_.statistics.expected_work(rule_), look_interval),
+        shortest_look_interval);
 }
 
 std::string request_task::attempt_id() const
@@ -384,7 +395,7 @@
     exchange_->begin(from.head.status, from.head.headers, from.head.length);
     exchange_->write(from.body);
     from.body.clear();
-    hedge_at_ = time_point::max();
+    watch_at_ = time_point::max();
     // What this answer began, no other can complete.
     for (auto& other : attempts_) {
         if (other.get() == &from)
@@ -492,7 +503,7 @@
 void request_task::repeat()
 {
     hedging_ = false;
-    hedge_at_ = time_point::max();
+    watch_at_ = time_point::max();
     probe_rounds_ = 0;
     measure_until_ = {};
     place();
@@ -652,15 +663,37 @@
         finish(request_result::gone, 0, "the caller closed its connection");
 }
 
+// Has the target measured that works on the request.
+void request_task::watch()
+{
+    watch_at_ = time_point::max();
+    const auto now = context_.loop.now();
+    const bool allowed =
+        ++looks_ <= most_looks && ledger_.may_start() &&
+        context_.budgets.of(service_).has_room(now, hedge_reserve);
+    if (!allowed)
+        return;
+    watch_at_ = now + watch_interval();
+    context_.probes.measure(attempts_.front()->target, number_);
+}
+
 void request_task::consider_hedge()
 {
-    hedge_at_ = time_point::max();
     const auto now = context_.loop.now();
+    const auto work = context_.statistics.expected_work(rule_);
+    auto& running = *attempts_.front();
+    running.progress.on_factor(
+        context_.known.placer.current_factor(running.target, now), now);
+    const bool wanted = is_hedge_worthwhile(
+        running.progress.remaining(now),
+        attempt_progress::expected(work, fresh_attempt_factor),
+        arrived_ + rule_.latency_objective - now);
     const bool allowed =
         ledger_.may_start() &&
         context_.budgets.of(service_).has_room(now, hedge_reserve);
-    if (!allowed)
+    if (!wanted || !allowed)
         return;
+    watch_at_ = time_point::max();
     hedging_ = true;
     probe_rounds_ = 0;
     measure_until_ = {};
@@ -683,8 +716,8 @@
         place();
     else if (state_ == stage::waiting && now >= retry_place_at_)
         place();
-    else if (state_ == stage::running && now >= hedge_at_)
-        consider_hedge();
+    else if (state_ == stage::running && now >= watch_at_)
+        watch();
     if (state_ != stage::ended)
         arm_timer();
 }
@@ -699,7 +732,7 @@
     else if (state_ == stage::waiting || streaming)
         next = std::min(next, retry_place_at_);
     else if (state_ == stage::running)
-        next = std::min(next, hedge_at_);
+        next = std::min(next, watch_at_);
     const auto now = context_.loop.now();
     timer_.start_once(std::max(next - now, duration(100)));
 }
--- a/apps/router/request_task.hpp
+++ b/apps/router/request_task.hpp
@@ -64,7 +64,7 @@
         time_point sent_at{};
         duration expected{}; ///< with the target's load and pace
         double slowness = 1; ///< of the target when it was sent
-        bool hedge = false;
+        attempt_progress progress{duration(1), 1, time_point{}};
         io::target_answer_head head;
         std::string body;
         bool streaming = false;
@@ -74,8 +74,9 @@
     placement_effort effort(time_point now) const;
     void follow(const placement_decision& decision);
     void place();
+    void watch();
     void consider_hedge();
-    duration hedge_delay(const attempt& first) const;
+    duration watch_interval() const;
     placement_request describe() const;
     void measure(const std::vector<target_id>& targets);
     void wait_for_slot(duration until_room);
@@ -121,7 +122,8 @@
     time_point deadline_{};
     time_point measure_until_{};
     time_point retry_place_at_ = time_point::max();
-    time_point hedge_at_ = time_point::max();
+    time_point watch_at_ = time_point::max(); ///< next look at the attempt
+    int looks_ = 0;
     int probe_rounds_ = 0;
     bool hedging_ = false; ///< what is being placed is a hedge
     std::set<target_id> measured_;
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -101,7 +101,9 @@
 {
     const bool recent =
         tried_at_ && (following_ || loop_.now() - *tried_at_ < access_memory);
-    if (!recent)
+    const bool confirmed = operators_.follower->is_confirmed() &&
+                           targets_.follower->is_confirmed();
+    if (!recent || (following_ && works_ && !confirmed))
         return store_access::untried;
     return works_ ? store_access::works : store_access::lost;
 }
--- a/include/vanillapost/placement.hpp
+++ b/include/vanillapost/placement.hpp
@@ -4,6 +4,7 @@
 /// Umbrella header of the placement module: which target gets a request, by
 /// what instances know of targets from answers and probes.
 
+#include "src/placement/attempt_progress.hpp"
 #include "src/placement/cold_share.hpp"
 #include "src/placement/load_report.hpp"
 #include "src/placement/placement_request.hpp"
--- a/include/vanillapost/src/io/table_follower.hpp
+++ b/include/vanillapost/src/io/table_follower.hpp
@@ -11,8 +11,12 @@
 
 struct table_follower_settings
 {
-    /// How long the store holds back an answer while nothing changes.
-    duration longest_wait = std::chrono::seconds(10);
+    /// How long the store holds back an answer while nothing changes. An
+    /// answer that is lost is noticed only after this time.
+    duration longest_wait = std::chrono::seconds(2);
+    /// The same for the first call and while the store is away, to learn soon
+    /// whether it answers.
+    duration trial_wait = std::chrono::milliseconds(100);
     /// Pause between two answers, so that many changes come in one.
     duration batch_delay = std::chrono::milliseconds(150);
     duration first_retry = std::chrono::milliseconds(100);
@@ -58,6 +62,12 @@
         return reachable_;
     }
 
+    /// Whether the store has answered since the start.
+    bool is_confirmed() const
+    {
+        return confirmed_;
+    }
+
 private:
     void next();
     void read_page(std::string first_key);
@@ -81,6 +91,7 @@
     bool needs_read_ = true;
     bool reachable_ = true;
     bool started_ = false;
+    bool confirmed_ = false;
     int failures_ = 0;
 };
 
--- a/include/vanillapost/src/placement/target_placer.hpp
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -65,6 +65,10 @@
     /// Knowledge of a target; nothing when it is not listed any more.
     target_knowledge* find(const target_id& id);
 
+    /// By how much work takes longer on a target now, with the requests that
+    /// it has; 1 for one that is not known.
+    double current_factor(const target_id& id, time_point now) const;
+
     /// Targets of a service that may be used.
     std::size_t usable_targets(const service_id& service) const;
 
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -293,10 +293,14 @@
            evbuffer_get_length(bufferevent_get_output(stream_.get()));
 }
 
+// At once, without reading on: a request that crosses the close was then never
+// read, and its caller may send it again whatever its kind.
 void caller_connection::close_if_idle()
 {
-    if (slots_.empty() && !reader_.in_message() && !closing_)
-        close_gracefully();
+    const bool unread =
+        evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0;
+    if (slots_.empty() && !reader_.in_message() && !closing_ && !unread)
+        end();
 }
 
 void caller_connection::check_time(time_point now)
@@ -309,9 +313,8 @@
     if (reader_.in_message() && !headers_read_ &&
         now - message_since_ > host_.limits.header_timeout)
         refuse(status_timeout, "the headers took too long");
-    if (slots_.empty() &&
-        now - idle_since_ > host_.limits.idle_timeout + idle_slack)
-        close_gracefully();
+    if (now - idle_since_ > host_.limits.idle_timeout + idle_slack)
+        close_if_idle();
 }
 
 } // namespace vanillapost::io::detail
--- a/src/io/table_follower.cpp
+++ b/src/io/table_follower.cpp
@@ -29,6 +29,7 @@
     revision_ = known_revision;
     needs_read_ = known_revision == 0;
     reachable_ = true;
+    confirmed_ = false;
     failures_ = 0;
     next();
 }
@@ -86,9 +87,8 @@
 
 void table_follower::follow()
 {
-    // After an outage a short wait shows soon that it is over.
-    const auto wait =
-        reachable_ ? settings_.longest_wait : settings_.first_retry;
+    const bool trial = !reachable_ || !confirmed_;
+    const auto wait = trial ? settings_.trial_wait : settings_.longest_wait;
     store_.follow(table_, revision_, wait,
                   [this, alive = alive_](store_result result) {
                       if (*alive)
@@ -115,6 +115,7 @@
 void table_follower::on_answer()
 {
     failures_ = 0;
+    confirmed_ = true;
     if (reachable_)
         return;
     reachable_ = true;
--- a/src/members/reader_choice.cpp
+++ b/src/members/reader_choice.cpp
@@ -47,8 +47,7 @@
     if (settled && is_reader(self, store, live))
         return true;
     const bool served = std::ranges::any_of(live, [&](const auto& each) {
-        return each.pulse.following &&
-               each.pulse.store == store_access::works &&
+        return each.pulse.following && each.pulse.store != store_access::lost &&
                each.silent_for <= settings_.silence_limit;
     });
     // Without any working reader those that have not tried yet do, and the
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -108,6 +108,22 @@
     return found == targets_.end() ? nullptr : &found->second.knowledge;
 }
 
+double target_placer::current_factor(const target_id& id, time_point now) const
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end())
+        return 1;
+    const auto& known = found->second.knowledge;
+    const double slots = std::max(found->second.record.slots, 1);
+    const bool nearly_full = known.load(now) > settings_.knee_use * slots;
+    double factor = known.pace(now);
+    if (nearly_full)
+        factor *= settings_.knee_factor;
+    if (known.is_cold(now))
+        factor *= cold_factor;
+    return factor;
+}
+
 std::size_t target_placer::usable_targets(const service_id& service) const
 {
     const auto found = services_.find(service);
--- a/test/table_follower.cpp
+++ b/test/table_follower.cpp
@@ -54,6 +54,7 @@
     followed()
         : follower(loop, store, "t",
                    {.longest_wait = 10s,
+                    .trial_wait = 2ms,
                     .batch_delay = 1ms,
                     .first_retry = 2ms,
                     .longest_retry = 4ms},
@@ -140,6 +141,20 @@
     EXPECT_EQ(f.events, (strings{"lost", "back", "read 1"}));
 }
 
+// A store that is silent is noticed within the first short wait, not after a
+// long one.
+TEST(TableFollower, TheFirstCallOfAResumptionIsATrial)
+{
+    followed f;
+    f.follower.start(7);
+    EXPECT_LT(f.store.calls.back().wait, 1s);
+    EXPECT_FALSE(f.follower.is_confirmed());
+    f.answer(2, rows(7, {}));
+    EXPECT_TRUE(f.follower.is_confirmed());
+    run_until(f.loop, [&] { return f.store.calls.size() == 3; });
+    EXPECT_EQ(f.store.calls.back().wait, 10s);
+}
+
 TEST(TableFollower, ResumesWhereAnotherInstanceKnowsTheTable)
 {
     followed f;
