Queue behind others only what is still done in time; new callers go first

Requests were put into the queues of full targets whatever the wait, and callers who came back with 3 to 100 ms left took slots.

Ruled out: failed probes as the cause (they were unanswered because targets had more than they can queue); lost restarts (configuration is back within 0.4 s).

Change: a request waits behind others at a target only if it is expected to be done within its objective; what has less time left than half of its work is refused at once; how long a caller has waited is told from the time that it has left, and who can still be answered in time gets a slot first.

--- a/apps/router/request_task.cpp
+++ b/apps/router/request_task.cpp
@@ -43,6 +43,8 @@
 constexpr double fresh_attempt_factor = 1.1;
 /// Share of the repeat budget that hedges leave to repeats after failures.
 constexpr double hedge_reserve = 0.5;
+/// With less time than this part of the usual work a request is not sent.
+constexpr double least_work_share = 0.5;
 constexpr duration shortest_retry_after = 150ms;
 constexpr duration longest_retry_after = 1s;
 
@@ -142,9 +144,21 @@
         if (result.ec == std::errc() && ms >= 0)
             limit = std::chrono::milliseconds(ms);
     }
+    const auto waited = context_.statistics.waited(rule_, limit);
     if (rule_.timeout > duration::zero())
         limit = std::min(limit, rule_.timeout);
     deadline_ = arrived_ + limit;
+    objective_ = rule_.latency_objective == duration::zero()
+                     ? deadline_
+                     : arrived_ + rule_.latency_objective - waited;
+}
+
+// Who can still be answered in time goes before who cannot, then by priority.
+std::tuple<bool, int, time_point> request_task::rank() const
+{
+    const auto work = context_.statistics.expected_work(rule_);
+    const bool late = context_.loop.now() + work > objective_;
+    return {late, rule_.priority, arrived_};
 }
 
 duration request_task::waiting_limit() const
@@ -171,13 +185,19 @@
     placement_effort result;
     const bool in_time = measure_until_ == time_point{} || now < measure_until_;
     result.may_measure = probe_rounds_ < max_probe_rounds && in_time;
-    result.may_queue = now >= arrived_ + waiting_limit();
+    result.queue_until = objective_ - now;
     return result;
 }
 
 void request_task::place()
 {
     const auto now = context_.loop.now();
+    const auto work = context_.statistics.expected_work(rule_);
+    if (!hedging_ && deadline_ - now < scaled(work, least_work_share)) {
+        give_up(status_gateway_timeout, "too little time is left",
+                shortest_retry_after);
+        return;
+    }
     follow(context_.known.placer.choose(describe(), effort(now), now));
     if (state_ != stage::ended)
         arm_timer();
@@ -687,7 +707,7 @@
     const bool wanted = is_hedge_worthwhile(
         running.progress.remaining(now),
         attempt_progress::expected(work, fresh_attempt_factor),
-        arrived_ + rule_.latency_objective - now);
+        objective_ - now);
     const bool allowed =
         ledger_.may_start() &&
         context_.budgets.of(service_).has_room(now, hedge_reserve);
--- a/apps/router/request_task.hpp
+++ b/apps/router/request_task.hpp
@@ -6,6 +6,7 @@
 #include "vanillapost/src/io/caller_server.hpp"
 
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace vanillapost::router {
@@ -43,10 +44,7 @@
     }
 
     /// Order in which waiting requests get slots.
-    std::pair<int, time_point> rank() const
-    {
-        return {rule_.priority, arrived_};
-    }
+    std::tuple<bool, int, time_point> rank() const;
 
 private:
     enum class stage
@@ -120,6 +118,7 @@
     stage state_ = stage::measuring;
     time_point arrived_{};
     time_point deadline_{};
+    time_point objective_{}; ///< when an answer is still in time
     time_point measure_until_{};
     time_point retry_place_at_ = time_point::max();
     time_point watch_at_ = time_point::max(); ///< next look at the attempt
--- a/apps/router/route_statistics.cpp
+++ b/apps/router/route_statistics.cpp
@@ -36,6 +36,13 @@
     return rule.kind == request_kind::download ? download_kib : usual_kib;
 }
 
+duration route_statistics::waited(const route& rule, duration left)
+{
+    auto& patience = patience_[rule.name];
+    patience.observe(left);
+    return patience.waited(left);
+}
+
 void route_statistics::on_answer(const route& rule, duration work,
                                  std::size_t bytes)
 {
--- a/apps/router/route_statistics.hpp
+++ b/apps/router/route_statistics.hpp
@@ -1,6 +1,7 @@
 #ifndef VANILLAPOST_APPS_ROUTER_ROUTE_STATISTICS_HPP
 #define VANILLAPOST_APPS_ROUTER_ROUTE_STATISTICS_HPP
 
+#include "vanillapost/attempts.hpp"
 #include "vanillapost/routes.hpp"
 
 #include <map>
@@ -18,6 +19,10 @@
     /// Size of request and answer together.
     double expected_kib(const route& rule) const;
 
+    /// How long the caller of a request with that time left has waited for
+    /// earlier attempts.
+    duration waited(const route& rule, duration left);
+
     /// \param work  the time taken, without what the target's load explains
     void on_answer(const route& rule, duration work, std::size_t bytes);
 
@@ -29,6 +34,7 @@
     };
 
     std::map<std::string, means> routes_;
+    std::map<std::string, caller_patience> patience_;
 };
 
 } // namespace vanillapost::router
--- a/include/vanillapost/attempts.hpp
+++ b/include/vanillapost/attempts.hpp
@@ -6,6 +6,7 @@
 
 #include "src/attempts/attempt_ledger.hpp"
 #include "src/attempts/attempt_outcome.hpp"
+#include "src/attempts/caller_patience.hpp"
 #include "src/attempts/repeat_budget.hpp"
 
 #endif
--- a/include/vanillapost/src/placement/placement_request.hpp
+++ b/include/vanillapost/src/placement/placement_request.hpp
@@ -50,7 +50,8 @@
 struct placement_effort
 {
     bool may_measure = true; ///< probes are still worth waiting for
-    bool may_queue = false;  ///< put it behind others at a full target
+    /// It may wait behind others at a target if it is done within this time.
+    duration queue_until{};
 };
 
 } // namespace vanillapost
--- a/include/vanillapost/src/placement/target_placer.hpp
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -19,7 +19,7 @@
     data_centre_id data_centre; ///< of this instance
     entry_id self;
     /// A report older than this is asked for anew before a request is placed.
-    duration fresh_report = std::chrono::milliseconds(60);
+    duration fresh_report = std::chrono::milliseconds(30);
     /// A target that was not probed for so long may have turned cold.
     duration fresh_probe = std::chrono::milliseconds(400);
     std::size_t probes_per_round = 3;
@@ -99,6 +99,8 @@
     bool may_use(entry& each, const placement_request& request,
                  time_point now) const;
     bool owns(const entry& each) const;
+    bool may_queue(const candidate& best, const placement_effort& effort,
+                   time_point now) const;
     std::vector<target_id> stale(std::span<const candidate> order) const;
     std::vector<target_id> suspects(const placement_request& request,
                                     time_point now) const;
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -92,16 +92,23 @@
         if (!targets.empty())
             return measure_first{std::move(targets)};
     }
-    const double limit =
-        best.target->record.slots * (1 + settings_.queue_per_slot);
-    const bool queue_full = best.target->knowledge.load(now) >= limit;
-    if (best.full && (queue_full || !effort.may_queue))
+    if (best.full && !may_queue(best, effort, now))
         return no_room{from_micros(best.expected)};
     if (best.target->knowledge.is_cold(now))
         best.target->pacer.on_sent(now);
     return place_on{best.target->record.id, from_micros(best.expected)};
 }
 
+bool target_placer::may_queue(const candidate& best,
+                              const placement_effort& effort,
+                              time_point now) const
+{
+    const double limit =
+        best.target->record.slots * (1 + settings_.queue_per_slot);
+    return best.target->knowledge.load(now) < limit &&
+           best.expected <= micros(effort.queue_until);
+}
+
 target_knowledge* target_placer::find(const target_id& id)
 {
     const auto found = targets_.find(id);
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -49,7 +49,7 @@
         placer.find({id})->on_report({running, 0, 2, pace}, true, now);
     }
 
-    placement_decision choose(const placement_effort& effort = {false, false},
+    placement_decision choose(const placement_effort& effort = {false, 0ms},
                               time_point now = start, double kib = 1)
     {
         placement_request request;
@@ -61,7 +61,7 @@
 
     std::string chosen(time_point now = start, double kib = 1)
     {
-        const auto decision = choose({false, false}, now, kib);
+        const auto decision = choose({false, 0ms}, now, kib);
         const auto* place = std::get_if<place_on>(&decision);
         return place ? place->target.value : "";
     }
@@ -87,13 +87,13 @@
 TEST(Placement, OldReportsAreAskedForAnewBeforeTheChoice)
 {
     placed p({"a", "b", "c", "d"});
-    const auto first = p.choose({true, false});
+    const auto first = p.choose({true, 0ms});
     ASSERT_TRUE(std::holds_alternative<measure_first>(first));
     EXPECT_EQ(std::get<measure_first>(first).targets.size(), 3u);
     for (const auto& id : {"a", "b", "c", "d"})
         p.report(id, 0, 1);
-    EXPECT_TRUE(std::holds_alternative<place_on>(p.choose({true, false})));
-    const auto later = p.choose({true, false}, start + 100ms);
+    EXPECT_TRUE(std::holds_alternative<place_on>(p.choose({true, 0ms})));
+    const auto later = p.choose({true, 0ms}, start + 100ms);
     EXPECT_TRUE(std::holds_alternative<measure_first>(later));
 }
 
@@ -102,7 +102,7 @@
     placed p({"a", "b", "c", "d"});
     for (const auto& id : {"a", "b", "c"})
         p.report(id, 0, 6);
-    const auto decision = p.choose({true, false});
+    const auto decision = p.choose({true, 0ms});
     ASSERT_TRUE(std::holds_alternative<measure_first>(decision));
     EXPECT_EQ(std::get<measure_first>(decision).targets,
               std::vector<target_id>{{"d"}});
@@ -117,14 +117,16 @@
     EXPECT_EQ(p.chosen(start, 90), "near");
 }
 
-TEST(Placement, FullTargetsAreSaidToBeFullBeforeRequestsQueueThere)
+// In an overload a queue makes all requests late; refused ones come back.
+TEST(Placement, RequestsQueueAtATargetOnlyIfTheyAreStillDoneInTime)
 {
     placed p({"a"});
     p.report("a", 2, 1);
-    EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, false})));
-    EXPECT_TRUE(std::holds_alternative<place_on>(p.choose({false, true})));
+    EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, 0ms})));
+    EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, 200ms})));
+    EXPECT_TRUE(std::holds_alternative<place_on>(p.choose({false, 400ms})));
     p.report("a", 4, 1);
-    EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, true})));
+    EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, 10s})));
 }
 
 TEST(Placement, AFailingTargetIsAvoidedAndTriedAgainLater)
@@ -149,7 +151,7 @@
     p.report("a", 0, 1);
     p.placer.find({"a"})->on_probe_failed(start);
     EXPECT_TRUE(std::holds_alternative<no_target>(p.choose()));
-    EXPECT_TRUE(std::holds_alternative<measure_first>(p.choose({true, false})));
+    EXPECT_TRUE(std::holds_alternative<measure_first>(p.choose({true, 0ms})));
     p.report("a", 0, 1);
     EXPECT_EQ(p.chosen(), "a");
 }
