Give nothing to targets whose probe is overdue; hedge silent attempts

Change: a target whose probe is out for more than 7 ms is not chosen until it answers; probes end after 120 ms; a running attempt at such a target is hedged.

--- a/apps/router/prober.cpp
+++ b/apps/router/prober.cpp
@@ -9,9 +9,8 @@
 
 using namespace std::chrono_literals;
 
-/// A live target answers a probe within a few milliseconds; one packet lost
-/// on the way is sent again after some 200 ms.
-constexpr duration probe_timeout = 250ms;
+/// A live target answers a probe within a few milliseconds.
+constexpr duration probe_timeout = 120ms;
 constexpr int status_ok = 200;
 
 duration read_ms(std::string_view text)
@@ -50,6 +49,8 @@
         return;
     }
     made.limit->start_once(probe_timeout);
+    if (auto* about = known_.placer.find(target))
+        about->on_probe_sent(loop_.now());
     start(*record, made);
 }
 
--- a/apps/router/request_task.cpp
+++ b/apps/router/request_task.cpp
@@ -693,8 +693,14 @@
         context_.budgets.of(service_).has_room(now, hedge_reserve);
     if (!allowed)
         return;
+    const auto& target = attempts_.front()->target;
+    const auto* about = context_.known.placer.find(target);
+    if (!about || about->is_doubtful(now)) {
+        hedge();
+        return;
+    }
     watch_at_ = now + watch_interval();
-    context_.probes.measure(attempts_.front()->target, number_);
+    context_.probes.measure(target, number_);
 }
 
 void request_task::consider_hedge()
@@ -711,8 +717,12 @@
     const bool allowed =
         ledger_.may_start() &&
         context_.budgets.of(service_).has_room(now, hedge_reserve);
-    if (!wanted || !allowed)
-        return;
+    if (wanted && allowed)
+        hedge();
+}
+
+void request_task::hedge()
+{
     watch_at_ = time_point::max();
     hedging_ = true;
     probe_rounds_ = 0;
--- a/apps/router/request_task.hpp
+++ b/apps/router/request_task.hpp
@@ -74,6 +74,7 @@
     void place();
     void watch();
     void consider_hedge();
+    void hedge();
     duration watch_interval() const;
     placement_request describe() const;
     void measure(const std::vector<target_id>& targets);
--- a/include/vanillapost/src/placement/target_knowledge.hpp
+++ b/include/vanillapost/src/placement/target_knowledge.hpp
@@ -38,6 +38,8 @@
     /// \param probed  asked for, which also tells whether the target is cold
     void on_report(const load_report& report, bool probed, time_point now);
 
+    void on_probe_sent(time_point now);
+
     /// A probe had no answer.
     void on_probe_failed(time_point now);
 
@@ -69,6 +71,10 @@
         return now < suspect_until_;
     }
 
+    /// It may be gone: suspect, or a probe is out for longer than a live target
+    /// takes to answer it.
+    bool is_doubtful(time_point now) const;
+
     duration report_age(time_point now) const;
     duration probe_age(time_point now) const;
 
@@ -88,6 +94,7 @@
     int own_at_report_ = 0;
     time_point reported_at_{};
     std::optional<time_point> probed_at_;
+    std::optional<time_point> probe_out_since_;
     double failures_ = 0; ///< weighted count, see decay
     double answers_ = 0;
     double slowness_ = 1;
--- a/src/placement/target_knowledge.cpp
+++ b/src/placement/target_knowledge.cpp
@@ -23,6 +23,8 @@
 constexpr double prior_answers = 2;
 constexpr double slowness_step = 0.3;
 constexpr double max_slowness = 12;
+/// A live target answers a probe within a few milliseconds.
+constexpr duration probe_answer_time = 7ms;
 constexpr duration first_suspicion = 300ms;
 constexpr duration longest_suspicion = 2400ms;
 
@@ -84,14 +86,29 @@
     if (!probed)
         return;
     probed_at_ = now;
+    probe_out_since_.reset();
     suspicions_ = 0;
 }
 
+void target_knowledge::on_probe_sent(time_point now)
+{
+    if (!probe_out_since_)
+        probe_out_since_ = now;
+}
+
 void target_knowledge::on_probe_failed(time_point now)
 {
+    probe_out_since_.reset();
     suspect(now);
 }
 
+bool target_knowledge::is_doubtful(time_point now) const
+{
+    const bool overdue =
+        probe_out_since_ && now - *probe_out_since_ > probe_answer_time;
+    return overdue || is_suspect(now);
+}
+
 void target_knowledge::on_cold(duration left, time_point now)
 {
     cold_until_ = now + left;
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -164,7 +164,7 @@
 bool target_placer::may_use(entry& each, const placement_request& request,
                             time_point now) const
 {
-    if (each.knowledge.is_suspect(now))
+    if (each.knowledge.is_doubtful(now))
         return false;
     if (std::ranges::find(request.tried, each.record.id) != request.tried.end())
         return false;
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -156,6 +156,18 @@
     EXPECT_EQ(p.chosen(), "a");
 }
 
+// A data centre's targets have gone silent: a request that is sent to one of
+// them waits for a connection as long as its whole objective.
+TEST(Placement, ATargetThatDoesNotAnswerItsProbeIsNotChosen)
+{
+    placed p({"silent", "live"});
+    p.report("live", 1, 4, start);
+    p.placer.find({"silent"})->on_probe_sent(start);
+    EXPECT_EQ(p.chosen(start + 8ms), "live");
+    p.report("silent", 0, 1, start + 9ms);
+    EXPECT_EQ(p.chosen(start + 9ms), "silent");
+}
+
 TEST(Placement, LeavingAndEvacuatedTargetsAreNotChosen)
 {
     placed p({"a"}, {"b"});
@@ -239,6 +251,25 @@
     }
 }
 
+// The machine of a target slows down in the middle of a request.
+TEST(AttemptProgress, ASlowdownIsSeenWhileTheRequestRuns)
+{
+    attempt_progress progress(120ms, 1, start);
+    EXPECT_EQ(progress.remaining(start), 120ms);
+    EXPECT_EQ(progress.remaining(start + 60ms), 60ms);
+    progress.on_factor(4, start + 60ms);
+    EXPECT_GT(progress.remaining(start + 60ms), 180ms);
+    EXPECT_TRUE(
+        is_hedge_worthwhile(progress.remaining(start + 60ms), 130ms, 200ms));
+}
+
+TEST(AttemptProgress, NoHedgeWhereTheAnswerIsInTimeOrANewOneIsNoSooner)
+{
+    EXPECT_FALSE(is_hedge_worthwhile(100ms, 130ms, 200ms));
+    EXPECT_FALSE(is_hedge_worthwhile(200ms, 130ms, 100ms));
+    EXPECT_TRUE(is_hedge_worthwhile(300ms, 130ms, 100ms));
+}
+
 TEST(TargetKnowledge, OthersRequestsAreThoseThatTheReportHasBeyondOwn)
 {
     target_knowledge known;
