Let no request crowd a target unless it is done in time

A target of two slots works 1.7 times slower with both in use, so a second request on it made both late. Besides, slowness counted every change of pace, so that used targets looked worse than unused ones and connections were spread over all targets.

Change: a request that slows others down on a target, or waits behind them, is placed there only if it is expected to be done within its objective; others wait shortly and are refused with a time to come back. Slowness counts beyond 1.6 times. Each instance prefers its own targets among equal ones. Hedges may use three quarters of the repeat budget.

--- a/apps/router/request_task.cpp
+++ b/apps/router/request_task.cpp
@@ -42,7 +42,7 @@
 /// A new attempt takes somewhat longer than its work on an idle target.
 constexpr double fresh_attempt_factor = 1.1;
 /// Share of the repeat budget that hedges leave to repeats after failures.
-constexpr double hedge_reserve = 0.5;
+constexpr double hedge_reserve = 0.25;
 /// With less time than this part of the usual work a request is not sent.
 constexpr double least_work_share = 0.5;
 constexpr duration shortest_retry_after = 150ms;
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -45,7 +45,7 @@
     handlers.on_read = [this, which](const std::vector<io::store_row>& rows,
                                      std::uint64_t revision) {
         note_access(true);
-        apply(which, {0, revision, true, rows}, true);
+        apply(which, {0, revision, true, false, rows}, true);
     };
     handlers.on_changed = [this,
                            which](const std::vector<io::store_row>& rows) {
@@ -53,7 +53,8 @@
         std::uint64_t newest = 0;
         for (const auto& row : rows)
             newest = std::max(newest, row.revision);
-        apply(which, {table_of(which).state.revision(), newest, false, rows},
+        apply(which,
+              {table_of(which).state.revision(), newest, false, false, rows},
               true);
     };
     handlers.on_lost = [this, which](const io::store_failure& failure) {
@@ -125,8 +126,10 @@
     json members = json::array({to_json(known_.members.self())});
     for (const auto& peer : known_.members.live_peers(loop_.now()))
         members.push_back(to_json(peer.who));
+    auto targets = targets_.state.since(known.targets);
+    targets.after_outage = known_.targets.is_relisting(loop_.now());
     return {{"operators", to_json(operators_.state.since(known.operators))},
-            {"targets", to_json(targets_.state.since(known.targets))},
+            {"targets", to_json(targets)},
             {"members", std::move(members)}};
 }
 
@@ -157,14 +160,21 @@
                              bool from_store)
 {
     auto& table = table_of(which);
+    const auto now = loop_.now();
     const auto before = table.state.revision();
-    const auto changed = table.state.apply(difference, loop_.now());
+    // Who finds the store lost knows of the outage without being told.
+    const bool after_outage =
+        difference.after_outage || access() == store_access::lost;
+    if (!from_store && after_outage && !known_.targets.is_relisting(now))
+        known_.targets.on_list_back(now);
+    const auto changed = table.state.apply(difference, now);
     for (const auto& row : changed)
         (this->*table.take)(row);
     if (!changed.empty())
         (this->*table.finish)();
     if (from_store && !changed.empty())
-        on_change_(which, {before, table.state.revision(), false, changed});
+        on_change_(which, {before, table.state.revision(), false,
+                           known_.targets.is_relisting(now), changed});
 }
 
 void state_controller::take_operator_row(const io::store_row& row)
--- a/apps/router/state_table.cpp
+++ b/apps/router/state_table.cpp
@@ -36,6 +36,7 @@
     return {{"after", difference.after},
             {"revision", difference.revision},
             {"whole", difference.whole},
+            {"after_outage", difference.after_outage},
             {"rows", std::move(rows)}};
 }
 
@@ -46,6 +47,7 @@
         result.after = document.at("after").get<std::uint64_t>();
         result.revision = document.at("revision").get<std::uint64_t>();
         result.whole = document.at("whole").get<bool>();
+        result.after_outage = document.at("after_outage").get<bool>();
         for (const auto& row : document.at("rows"))
             result.rows.push_back(parse_row(row));
         return result;
--- a/apps/router/state_table.hpp
+++ b/apps/router/state_table.hpp
@@ -17,6 +17,8 @@
     std::uint64_t after = 0;    ///< what the other must know already
     std::uint64_t revision = 0; ///< what it knows afterwards
     bool whole = false; ///< all rows: what is not among them was removed
+    /// The store has just come back: removed targets may list themselves again.
+    bool after_outage = false;
     std::vector<io::store_row> rows;
 };
 
--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -14,3 +14,17 @@
       RUN_SERIAL TRUE LABELS process TIMEOUT 180)
   endforeach()
 endforeach()
+
+# The router against stand-ins of the users' platform.
+set(router_tests ${PROJECT_SOURCE_DIR}/test/platform/test_router.py)
+set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${router_tests})
+file(STRINGS ${router_tests} functions REGEX "^def test_[a-z0-9_]+\\(")
+foreach(line ${functions})
+  string(REGEX REPLACE "^def test_([a-z0-9_]+).*" "\\1" name "${line}")
+  add_test(NAME router_${name}
+    COMMAND /usr/bin/python3 -m pytest -q -p no:cacheprovider
+      ${router_tests}::test_${name})
+  set_tests_properties(router_${name} PROPERTIES
+    ENVIRONMENT "VANILLAPOST_BIN=${PROJECT_BINARY_DIR}"
+    RUN_SERIAL TRUE LABELS process TIMEOUT 120)
+endforeach()
--- a/include/vanillapost/src/placement/target_placer.hpp
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -79,6 +79,7 @@
         target_knowledge knowledge;
         cold_pacer pacer;
         double cold_rate = 0;
+        double preference = 0; ///< of this instance; 0 is the most preferred
         bool usable = false;
         std::vector<entry_id> owners; ///< while it is cold
     };
@@ -89,6 +90,7 @@
         double cost;     ///< µs until the answer is complete, with all risks
         double expected; ///< µs until the answer is complete
         bool full;
+        bool crowded; ///< full, or slowed down for the others by one more
         bool measured;
     };
 
@@ -99,7 +101,7 @@
     bool may_use(entry& each, const placement_request& request,
                  time_point now) const;
     bool owns(const entry& each) const;
-    bool may_queue(const candidate& best, const placement_effort& effort,
+    bool may_crowd(const candidate& each, const placement_effort& effort,
                    time_point now) const;
     std::vector<target_id> stale(std::span<const candidate> order) const;
     std::vector<target_id> suspects(const placement_request& request,
--- a/include/vanillapost/src/targets/target_catalog.hpp
+++ b/include/vanillapost/src/targets/target_catalog.hpp
@@ -39,6 +39,9 @@
     /// The list answers again after an outage.
     void on_list_back(time_point now);
 
+    /// Whether targets may still be about to list themselves again.
+    bool is_relisting(time_point now) const;
+
     /// Takes a data centre out, or back in. Its targets get no work while it
     /// is out.
     void set_evacuated(std::set<data_centre_id> data_centres);
--- a/src/placement/target_knowledge.cpp
+++ b/src/placement/target_knowledge.cpp
@@ -21,8 +21,11 @@
 constexpr duration health_memory = 4s;
 /// Weight of the assumption that a target without history is sound.
 constexpr double prior_answers = 2;
-constexpr double slowness_step = 0.3;
+constexpr double slowness_step = 0.25;
 constexpr double max_slowness = 12;
+/// Answers that take so much longer than expected are nothing unusual on
+/// machines whose pace changes while they work.
+constexpr double usual_excess = 1.6;
 /// A live target answers a probe within a few milliseconds.
 constexpr duration probe_answer_time = 7ms;
 constexpr duration first_suspicion = 300ms;
@@ -139,7 +142,9 @@
 
 double target_knowledge::slowness(time_point now) const
 {
-    return 1 + (slowness_ - 1) * faded(now - decayed_at_, health_memory);
+    const double seen =
+        1 + (slowness_ - 1) * faded(now - decayed_at_, health_memory);
+    return std::max(seen / usual_excess, 1.0);
 }
 
 duration target_knowledge::report_age(time_point now) const
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
+#include <xxhash.h>
 
 namespace vanillapost {
 
@@ -9,9 +11,10 @@
 
 /// Cold targets work about half as fast.
 constexpr double cold_factor = 2;
-/// Part of the cost by which equal targets are told apart at random, so that
-/// instances with the same knowledge do not all choose the same one.
-constexpr double tie_break = 0.05;
+/// Parts of the cost by which equal targets are told apart: by a preference of
+/// each instance, so that it keeps using the same connections, and at random.
+constexpr double preference_weight = 0.06;
+constexpr double random_weight = 0.02;
 /// A target is worth a second round of probes when it beats the best one
 /// known by this factor.
 constexpr double second_round_gain = 2;
@@ -21,6 +24,14 @@
     return static_cast<double>(value.count());
 }
 
+// From 0 for the most preferred target to 1.
+double preference_of(const entry_id& self, const target_id& target)
+{
+    const auto text = self.value + '\n' + target.value;
+    return static_cast<double>(XXH64(text.data(), text.size(), 0)) /
+           static_cast<double>(UINT64_MAX);
+}
+
 duration from_micros(double value)
 {
     return duration(static_cast<duration::rep>(value));
@@ -57,6 +68,8 @@
         each.cold_rate = rate == cold_rates.end() ? 0 : rate->second;
         if (added || moved)
             each.owners = cold_owners(id, record.data_centre, members_);
+        if (added)
+            each.preference = preference_of(settings_.self, id);
     }
     std::erase_if(targets_, [&](const auto& each) {
         return !catalog.find(each.first) &&
@@ -92,21 +105,26 @@
         if (!targets.empty())
             return measure_first{std::move(targets)};
     }
-    if (best.full && !may_queue(best, effort, now))
+    const auto chosen = std::ranges::find_if(order, [&](const auto& each) {
+        return !each.crowded || may_crowd(each, effort, now);
+    });
+    if (chosen == order.end())
         return no_room{from_micros(best.expected)};
-    if (best.target->knowledge.is_cold(now))
-        best.target->pacer.on_sent(now);
-    return place_on{best.target->record.id, from_micros(best.expected)};
+    if (chosen->target->knowledge.is_cold(now))
+        chosen->target->pacer.on_sent(now);
+    return place_on{chosen->target->record.id, from_micros(chosen->expected)};
 }
 
-bool target_placer::may_queue(const candidate& best,
+// A request that crowds a target slows the others there, or waits behind them:
+// that is worth it only if it is still done in time.
+bool target_placer::may_crowd(const candidate& each,
                               const placement_effort& effort,
                               time_point now) const
 {
     const double limit =
-        best.target->record.slots * (1 + settings_.queue_per_slot);
-    return best.target->knowledge.load(now) < limit &&
-           best.expected <= micros(effort.queue_until);
+        each.target->record.slots * (1 + settings_.queue_per_slot);
+    return each.target->knowledge.load(now) < limit &&
+           each.expected <= micros(effort.queue_until);
 }
 
 target_knowledge* target_placer::find(const target_id& id)
@@ -150,7 +168,8 @@
         auto assessed = assess(*each, request, now);
         const double draw = static_cast<double>(random_()) /
                             static_cast<double>(random_engine::max());
-        assessed.cost *= 1 + tie_break * draw;
+        assessed.cost *=
+            1 + preference_weight * each->preference + random_weight * draw;
         order.push_back(assessed);
     }
     std::ranges::sort(order, [](const candidate& one, const candidate& other) {
@@ -188,12 +207,14 @@
     const bool cold = known.is_cold(now);
     double work =
         micros(request.expected_work) * known.pace(now) * known.slowness(now);
-    if (load + 1 > settings_.knee_use * slots)
+    const bool slowed = load + 1 > settings_.knee_use * slots;
+    if (slowed)
         work *= settings_.knee_factor;
     if (cold)
         work *= cold_factor;
     // A slot is free when less than half a request more fills them.
     const bool full = load > slots - 0.5;
+    const bool crowded = full || (slowed && load >= 0.5);
     const double ahead = full ? (load - slots + 1) / slots : 0;
     double expected = work * (1 + ahead);
     double cost = expected;
@@ -212,7 +233,7 @@
         cost = 0;
     const bool measured = known.report_age(now) <= settings_.fresh_report &&
                           known.probe_age(now) <= settings_.fresh_probe;
-    return {&each, cost, expected, full, measured};
+    return {&each, cost, expected, full, crowded, measured};
 }
 
 // The likely best targets, where what is known of them is old. A second round
--- a/src/targets/target_catalog.cpp
+++ b/src/targets/target_catalog.cpp
@@ -33,9 +33,7 @@
 
 void target_catalog::remove(const target_id& id, time_point now)
 {
-    const bool relisting =
-        list_back_ && now < *list_back_ + settings_.relist_window;
-    if (!relisting) {
+    if (!is_relisting(now)) {
         records_.erase(id);
         removals_.erase(id);
     } else if (records_.contains(id)) {
@@ -63,6 +61,11 @@
     list_back_ = now;
 }
 
+bool target_catalog::is_relisting(time_point now) const
+{
+    return list_back_ && now < *list_back_ + settings_.relist_window;
+}
+
 void target_catalog::set_evacuated(std::set<data_centre_id> data_centres)
 {
     evacuated_ = std::move(data_centres);
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -129,6 +129,20 @@
     EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, 10s})));
 }
 
+// Load nearly fills all targets: one more request on each makes both late.
+TEST(Placement, ARequestThatWouldBeLateDoesNotSlowAnotherDown)
+{
+    placed p({"a", "b"});
+    p.report("a", 1, 2);
+    p.report("b", 1, 2);
+    EXPECT_TRUE(std::holds_alternative<no_room>(p.choose({false, 300ms})));
+    p.report("b", 1, 1);
+    EXPECT_TRUE(std::holds_alternative<place_on>(p.choose({false, 300ms})));
+    p.report("a", 0, 4);
+    p.report("b", 1, 2);
+    EXPECT_EQ(p.chosen(), "a");
+}
+
 TEST(Placement, AFailingTargetIsAvoidedAndTriedAgainLater)
 {
     placed p({"a", "b"});
@@ -161,7 +175,7 @@
 TEST(Placement, ATargetThatDoesNotAnswerItsProbeIsNotChosen)
 {
     placed p({"silent", "live"});
-    p.report("live", 1, 4, start);
+    p.report("live", 0, 4, start);
     p.placer.find({"silent"})->on_probe_sent(start);
     EXPECT_EQ(p.chosen(start + 8ms), "live");
     p.report("silent", 0, 1, start + 9ms);
--- /dev/null
+++ b/test/platform/caller.py
@@ -0,0 +1,133 @@
+"""Callers: ask the directory, keep its answer, connect, check answers."""
+
+import asyncio
+import json
+import time
+from urllib.parse import quote
+
+import wire
+from target import ID, SEAL, answer_body, seal_of
+
+DEADLINE = "X-Vanillapost-Deadline-Ms"
+SLACK_S = 1.5  # beyond the deadline, on a busy machine
+
+
+class Caller:
+    """Keeps a connection to one router for several requests."""
+
+    def __init__(self, name, zone, fleet, truth, random):
+        self._name = name
+        self._zone = zone
+        self._fleet = fleet
+        self._truth = truth
+        self._random = random
+        self._count = 0
+        self._addresses = []
+        self._asked_at = 0.0
+        self._link = None
+        self._link_address = None
+
+    async def _resolve(self):
+        if time.monotonic() < self._asked_at + 2 and self._addresses:
+            return
+        routers = list(self._fleet.routers)
+        self._random.shuffle(routers)
+        for router in routers[:3]:
+            try:
+                found = await asyncio.wait_for(
+                    ask_directory(router, self._zone), 1)
+            except (wire.Broken, OSError, asyncio.TimeoutError):
+                continue
+            if found:
+                self._addresses = found
+                self._asked_at = time.monotonic()
+                return
+
+    async def _connect(self):
+        await self._resolve()
+        if self._link and self._link_address in self._addresses:
+            return self._link
+        self._drop()
+        for address in self._random.sample(self._addresses,
+                                           len(self._addresses)):
+            ip, _, port = address.rpartition(":")
+            try:
+                self._link = await asyncio.wait_for(
+                    asyncio.open_connection(ip, int(port)), 1)
+                self._link_address = address
+                return self._link
+            except (OSError, asyncio.TimeoutError):
+                continue
+        return None
+
+    def _drop(self):
+        if self._link:
+            self._link[1].close()
+        self._link = None
+
+    async def request(self, route, deadline_s=2.0, give_up_s=None):
+        """One attempt; its outcome goes into the truth."""
+        link = await self._connect()
+        if link is None:
+            await asyncio.sleep(0.1)
+            return None
+        self._count += 1
+        attempt_id = f"{self._name}-{self._count}"
+        asked = self._truth.ask(attempt_id, route.service, route.repeatable)
+        asked.router = self._link_address
+        body = b"" if route.repeatable else attempt_id.encode() * 20
+        method = "GET" if route.repeatable else "POST"
+        headers = [("Host", route.host), (ID, attempt_id),
+                   (DEADLINE, int(deadline_s * 1000))]
+        link[1].write(wire.format_message(
+            f"{method} {route.prefix}{self._count} HTTP/1.1", headers, body,
+            length=bool(body)))
+        limit = give_up_s or deadline_s + SLACK_S
+        try:
+            answer = await asyncio.wait_for(
+                wire.read_message(link[0], answer=True), limit)
+            self._check(asked, answer)
+        except wire.Broken:
+            self._drop()
+        except asyncio.TimeoutError:
+            asked.status = 0 if give_up_s else -1
+            self._drop()
+        asked.ended = time.monotonic()
+        return asked
+
+    def _check(self, asked, answer):
+        asked.status = answer.status
+        if (answer.header("Connection") or "").lower() == "close":
+            self._drop()
+        if not 200 <= answer.status < 300:
+            return
+        want = answer_body(asked.attempt_id, len(answer.body))
+        if answer.header(SEAL) != seal_of(answer.body) or answer.body != want:
+            self._truth.broken("MIXED", f"{asked.attempt_id} got a success "
+                               "that no target gave for it")
+
+    async def run(self, routes, pause_s, until):
+        while time.monotonic() < until:
+            route = self._random.choice(routes)
+            await self.request(route)
+            await asyncio.sleep(self._random.uniform(0.2, 1.8) * pause_s)
+        self._drop()
+
+
+async def get(address, path, host="x"):
+    ip, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    try:
+        writer.write(wire.format_message(f"GET {path} HTTP/1.1",
+                                         [("Host", host)], length=False))
+        return await wire.read_message(reader, answer=True)
+    finally:
+        writer.close()
+
+
+async def ask_directory(router, zone):
+    answer = await get(router.directory,
+                       f"/resolve?name=x&region=r&zone={quote(zone)}")
+    if answer.status != 200:
+        return []
+    return json.loads(answer.body)["addresses"]
--- /dev/null
+++ b/test/platform/fleet.py
@@ -0,0 +1,220 @@
+"""Routers as real processes, with everything around them."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import wire
+from caller import Caller, get
+from proxy import Proxy
+from store import Store
+from target import Target
+from truth import Truth
+
+ROOT = Path(__file__).resolve().parents[2]
+BIN = Path(os.environ.get("VANILLAPOST_BIN", ROOT / "build"))
+ZONES = ("a", "b", "c")
+START_S = 20  # generous: bounds waiting for something that does happen
+
+
+@dataclass
+class Route:
+    name: str
+    host: str
+    prefix: str
+    service: str
+    kind: str = "idempotent"
+    timeout_ms: int = 1500
+    objective_ms: int = 400
+    attempts: int = 2
+
+    @property
+    def repeatable(self):
+        return self.kind != "non_idempotent"
+
+
+LOOKUP = Route("lookup", "shop.example", "/look/", "stock")
+ORDER = Route("order", "shop.example", "/order/", "ledger", "non_idempotent")
+FILES = Route("files", "shop.example", "/files/", "archive", "download")
+ROUTES = (LOOKUP, ORDER, FILES)
+
+
+class Router:
+    """One process, at a loopback address of its own: ports are the same on
+    all of them, as on the platform."""
+
+    def __init__(self, number, zone, ports, store_address, seeds, folder):
+        self.ip = f"127.0.{10 + os.getpid() % 200}.{number + 1}"
+        self.name = f"router-{number}"
+        self.zone = zone
+        front, ready, directory, query, peer, metrics = ports
+        self.front = f"{self.ip}:{front}"
+        self.ready_address = f"{self.ip}:{ready}"
+        self.directory = f"{self.ip}:{directory}"
+        self.metrics = f"{self.ip}:{metrics}"
+        self.settings = {
+            "name": self.name, "data_centre": zone,
+            "caller_address": self.front,
+            "ready_address": self.ready_address,
+            "directory_address": self.directory,
+            "query_address": f"{self.ip}:{query}",
+            "peer_address": f"{self.ip}:{peer}",
+            "metrics_address": self.metrics,
+            "platform_address": store_address, "seeds": seeds,
+            "grace_period": "6s", "repeat_ratio": 0.2,
+            "repeat_allowance": 58, "repeat_window": "10s"}
+        self._file = Path(folder) / f"{self.name}.json"
+        self.log = Path(folder) / f"{self.name}.log"
+        self.process = None
+
+    def start(self):
+        self._file.write_text(json.dumps(self.settings))
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [BIN / "vanillapost-router", "--settings", self._file],
+                stdout=log, stderr=log)
+
+    def signal(self, number):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait_end(self, limit_s=START_S):
+        until = time.monotonic() + limit_s
+        while self.process.poll() is None:
+            if time.monotonic() > until:
+                raise TimeoutError(f"{self.name} did not end")
+            await asyncio.sleep(0.02)
+        return self.process.returncode
+
+    async def is_ready(self):
+        try:
+            answer = await asyncio.wait_for(
+                get(self.ready_address, "/readiness"), 1)
+            return answer.status == 200
+        except (wire.Broken, OSError, asyncio.TimeoutError):
+            return False
+
+    async def wait_ready(self):
+        until = time.monotonic() + START_S
+        while not await self.is_ready():
+            if time.monotonic() > until:
+                raise TimeoutError(f"{self.name} is not ready")
+            await asyncio.sleep(0.05)
+
+
+class Fleet:
+    """Store, targets, routers and callers of one test."""
+
+    def __init__(self, seed=1, routers=3, targets_per_zone=2, proxied=False):
+        self.random = random.Random(seed)
+        self.truth = Truth()
+        self.store = Store(self.random)
+        self.store_proxy = Proxy() if proxied else None
+        self.proxies = {}
+        self.targets = []
+        self.routers = []
+        self.version = 1
+        self.routes = list(ROUTES)
+        self._wanted = (routers, targets_per_zone)
+        self._proxied = proxied
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        self._next_target = 0
+        self._loads = 0
+
+    async def __aenter__(self):
+        await self.store.start("127.0.0.1")
+        address = self.store.address
+        if self.store_proxy:
+            await self.store_proxy.start(address)
+            address = self.store_proxy.address
+        await self.write_config()
+        count, per_zone = self._wanted
+        for zone in ZONES:
+            for service in ("stock", "ledger", "archive"):
+                for _ in range(per_zone):
+                    await self.add_target(service, zone)
+        ports = self.random.sample(range(20000, 32000), 6)
+        self.routers = [Router(i, ZONES[i % 3], ports, address, [],
+                               self.folder) for i in range(count)]
+        seeds = [r.settings["query_address"] for r in self.routers[:3]]
+        for router in self.routers:
+            router.settings["seeds"] = seeds
+            router.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for router in self.routers:
+            if router.process and router.process.poll() is None:
+                router.process.send_signal(signal.SIGCONT)
+                router.process.kill()
+                router.process.wait()
+        for target in self.targets:
+            await target.stop()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        if self.store_proxy:
+            await self.store_proxy.stop()
+        await self.store.stop()
+        self._folder.cleanup()
+
+    async def wait_ready(self):
+        for router in self.routers:
+            await router.wait_ready()
+
+    async def add_target(self, service, zone, cold_s=0.0, **figures):
+        self._next_target += 1
+        name = f"i-{service}-{self._next_target}"
+        target = Target(name, service, zone, self.store, self.truth,
+                        self.random, **figures)
+        await target.start("127.0.0.1", cold_s)
+        if self._proxied:
+            proxy = Proxy()
+            await proxy.start(target.address)
+            self.proxies[name] = proxy
+            target.listed_address = proxy.address
+        await target.list_itself()
+        self.targets.append(target)
+        return target
+
+    def targets_of(self, service):
+        return [t for t in self.targets if t.service == service]
+
+    def make_config(self):
+        rules = [{"name": r.name, "kind": r.kind, "priority": 1,
+                  "targetLatency": f"{r.objective_ms}ms",
+                  "match": {"prefix": r.prefix},
+                  "action": {"service": r.service, "attempts": r.attempts,
+                             "timeout": f"{r.timeout_ms}ms"}}
+                 for r in self.routes]
+        return {"version": f"r{self.version}",
+                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
+                           "headerTimeout": "3000ms", "idleTimeout": "15s"},
+                "listeners": [{"host": "shop.example", "rules": rules}],
+                "clusters": [{"name": s, "healthPath": "/health",
+                              "maxConnections": 220, "slowStart": "3s",
+                              "warmupPerS": 3.4}
+                             for s in ("stock", "ledger", "archive")]}
+
+    async def write_config(self):
+        self.version += 3
+        await self.store.put("op", "config", json.dumps(self.make_config()))
+
+    def caller(self, name, zone="a"):
+        return Caller(name, zone, self, self.truth, self.random)
+
+    async def load(self, seconds, callers=12, pause_s=0.05, routes=None):
+        """Callers of all zones for that time."""
+        until = time.monotonic() + seconds
+        self._loads += 1
+        await asyncio.gather(*(
+            self.caller(f"c{i}-{self._loads}", ZONES[i % 3]).run(
+                routes or self.routes, pause_s, until)
+            for i in range(callers)))
--- /dev/null
+++ b/test/platform/target.py
@@ -0,0 +1,214 @@
+"""Stand-in of a target, as the users' platform has them, with its faults."""
+
+import asyncio
+import hashlib
+import json
+import time
+from dataclasses import dataclass
+
+import wire
+
+ID = "X-Vanillapost-Attempt-Id"
+SEAL = "X-Vanillapost-Response-Seal"
+COLD_ROOM = 5  # requests beyond the rate that a cold target still bears
+
+
+def answer_body(attempt_id, size):
+    """What a target answers to that attempt; callers check it."""
+    block = hashlib.sha256(attempt_id.encode()).hexdigest().encode()
+    return (block * (size // len(block) + 1))[:size]
+
+
+def seal_of(body):
+    return hashlib.sha256(b"seal" + body).hexdigest()
+
+
+@dataclass
+class Run:
+    """A request that a target began to work on."""
+
+    at: float
+    attempt_id: str
+    service: str
+    target: str
+    method: str
+    path: str
+    body: bytes
+    first: bool
+
+
+class Target:
+    """Works on some requests at a time, queues a few, and is silent to more.
+
+    Faults: `slow` multiplies work; `fail`, `lose`, `spoil` are shares of
+    answers that are 500, lost after the run, or broken; `dark` is silence.
+    """
+
+    def __init__(self, name, service, zone, store, truth, random, slots=2,
+                 queue=4, work_s=0.02, size=400, cold_per_s=3.4):
+        self.id = name
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.queue = queue
+        self.work_s = work_s
+        self.size = size
+        self.cold_per_s = cold_per_s
+        self.slow = 1.0
+        self.fail = self.lose = self.spoil = 0.0
+        self.dark = False
+        self.draining = False
+        self.cold_until = 0.0
+        self.born = int(time.time() * 1000)
+        self.listed_address = None
+        self._store = store
+        self._truth = truth
+        self._random = random
+        self._server = wire.Server(self._serve)
+        self._room = asyncio.Semaphore(slots)
+        self._waiting = 0
+        self._running = 0
+        self._sequence = 0
+        self._recent = []
+
+    @property
+    def address(self):
+        return self._server.address
+
+    async def start(self, ip, cold_s=0.0):
+        await self._server.start(ip)
+        self.cold_until = time.monotonic() + cold_s
+        self.listed_address = self.listed_address or self.address
+
+    async def stop(self):
+        await self._server.stop()
+
+    def reset_connections(self, share=1.0):
+        self._server.reset_connections(share, self._random)
+
+    async def list_itself(self, state="ready"):
+        self._sequence += 1
+        left = max(self.cold_until - time.monotonic(), 0)
+        await self._store.put("servers", self.id, json.dumps({
+            "address": self.listed_address, "born": self.born,
+            "info": {"service": self.service, "version": "v1",
+                     "zone": self.zone, "maxConcurrency": self.slots},
+            "status": {"state": state, "sequence": self._sequence,
+                       "warmupLeft": f"{int(left * 1000)}ms"}}))
+        self.draining = state == "draining"
+
+    async def leave(self):
+        await self._store.remove("servers", self.id)
+
+    def _load(self):
+        pace = int(100 * self.slow)
+        return ("X-Vanillapost-Backend-Load",
+                f"{self._running},{self._waiting},{self.slots},{pace}")
+
+    async def _serve(self, reader, writer):
+        while True:
+            request = await wire.read_message(reader)
+            if self.dark:
+                await asyncio.sleep(3600)
+            if request.target == "/health":
+                self._answer_health(writer)
+                continue
+            work = asyncio.create_task(self._work(request, writer))
+            left = asyncio.create_task(reader.read(1))
+            done, _ = await asyncio.wait(
+                (work, left), return_when=asyncio.FIRST_COMPLETED)
+            if left in done:
+                # The caller closed, or sent what it may not send yet.
+                work.cancel()
+                return
+            left.cancel()
+            await asyncio.gather(left, return_exceptions=True)
+            if not work.result():
+                return
+
+    def _answer_health(self, writer):
+        status = 503 if self.draining else 200
+        left = max(self.cold_until - time.monotonic(), 0)
+        headers = [("X-Vanillapost-Instance-Id", self.id), self._load()]
+        if left > 0:
+            headers.append(("X-Vanillapost-Warmup-Ms", int(left * 1000)))
+        writer.write(wire.format_message(f"HTTP/1.1 {status} X", headers))
+
+    async def _work(self, request, writer):
+        """Whether the connection can be used again."""
+        attempt_id = request.header(ID)
+        wanted = request.header("X-Vanillapost-Target-Instance")
+        if wanted and wanted != self.id:
+            writer.write(wire.format_message(
+                "HTTP/1.1 421 Misdirected",
+                [("X-Vanillapost-Instance-Id", self.id)]))
+            return True
+        if self._running + self._waiting >= self.slots + self.queue:
+            await asyncio.sleep(3600)
+        self._waiting += 1
+        try:
+            await self._room.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            self._note_run(request, attempt_id)
+            await asyncio.sleep(self.work_s * self.slow)
+        finally:
+            self._running -= 1
+            self._room.release()
+        return await self._answer(request, attempt_id, writer)
+
+    def _note_run(self, request, attempt_id):
+        now = time.monotonic()
+        self._truth.note_run(Run(
+            now, attempt_id, self.service, self.id, request.method,
+            request.target, request.body, False))
+        if now < self.cold_until:
+            self._recent = [t for t in self._recent if t > now - 1] + [now]
+            if len(self._recent) > self.cold_per_s * 1.5 + COLD_ROOM:
+                self._truth.broken("COLD", f"{self.id} got "
+                                   f"{len(self._recent)} in a second")
+
+    async def _answer(self, request, attempt_id, writer):
+        if self._random.random() < self.lose:
+            wire.close(writer, reset=True)
+            return False
+        if self._random.random() < self.fail:
+            body = b"failed"
+            status = 500
+        else:
+            body = answer_body(attempt_id, self.size)
+            status = 200
+        headers = [(ID, attempt_id), (SEAL, seal_of(body)), self._load()]
+        start = f"HTTP/1.1 {status} X"
+        if self._random.random() < self.spoil:
+            return await self._spoil(start, headers, body, writer)
+        writer.write(wire.format_message(start, headers, body))
+        await writer.drain()
+        return True
+
+    async def _spoil(self, start, headers, body, writer):
+        kind = self._random.choice(
+            ("cut", "extra", "late", "unframed", "unsealed", "noise", "coded"))
+        if kind == "cut":
+            writer.write(wire.format_message(start, headers, body)[:-9])
+        elif kind == "extra":
+            writer.write(wire.format_message(start, headers, body) * 2)
+        elif kind == "late":
+            writer.write(wire.format_message(start, headers, body))
+            await writer.drain()
+            await asyncio.sleep(0.03)
+            writer.write(wire.format_message(start, headers, body))
+        elif kind == "unframed":
+            writer.write(wire.format_message(start, headers, body, False))
+        elif kind == "unsealed":
+            plain = [(n, v) for n, v in headers if n != SEAL]
+            writer.write(wire.format_message(start, plain, body))
+        elif kind == "noise":
+            writer.write(b"\x00\xffno answer\r\n\r\n")
+        else:
+            coded = headers + [("Content-Encoding", "gzip")]
+            writer.write(wire.format_message(start, coded, body))
+        await writer.drain()
+        return kind in ("extra", "late")
--- a/test/state_table.cpp
+++ b/test/state_table.cpp
@@ -33,8 +33,8 @@
 TEST(StateTable, AWholeReadingRemovesWhatItDoesNotName)
 {
     state_table table;
-    table.apply({0, 5, true, {put("a", 3), put("b", 5)}}, start);
-    const auto changed = table.apply({0, 9, true, {put("b", 5)}}, start);
+    table.apply({0, 5, true, false, {put("a", 3), put("b", 5)}}, start);
+    const auto changed = table.apply({0, 9, true, false, {put("b", 5)}}, start);
     ASSERT_EQ(changed.size(), 1u);
     EXPECT_TRUE(changed[0].removed);
     EXPECT_EQ(changed[0].key, "a");
@@ -44,17 +44,19 @@
 TEST(StateTable, AWholeReadingThatIsOldRemovesNothingNewer)
 {
     state_table table;
-    table.apply({0, 9, true, {put("a", 9)}}, start);
-    EXPECT_TRUE(table.apply({0, 5, true, {}}, start).empty());
+    table.apply({0, 9, true, false, {put("a", 9)}}, start);
+    EXPECT_TRUE(table.apply({0, 5, true, false, {}}, start).empty());
     EXPECT_EQ(present(table).size(), 1u);
 }
 
 TEST(StateTable, RowsNeverGoBack)
 {
     state_table table;
-    table.apply({0, 7, true, {put("a", 7)}}, start);
-    EXPECT_TRUE(table.apply({0, 3, false, {put("a", 3)}}, start).empty());
-    EXPECT_TRUE(table.apply({0, 3, false, {removed("a", 3)}}, start).empty());
+    table.apply({0, 7, true, false, {put("a", 7)}}, start);
+    EXPECT_TRUE(
+        table.apply({0, 3, false, false, {put("a", 3)}}, start).empty());
+    EXPECT_TRUE(
+        table.apply({0, 3, false, false, {removed("a", 3)}}, start).empty());
     EXPECT_EQ(present(table).at("a"), "v7");
     EXPECT_EQ(table.revision(), 7u);
 }
@@ -62,19 +64,19 @@
 TEST(StateTable, AGapIsSeen)
 {
     state_table table;
-    table.apply({0, 5, true, {put("a", 5)}}, start);
-    EXPECT_TRUE(table.follows({5, 6, false, {}}));
-    EXPECT_FALSE(table.follows({6, 7, false, {}}));
-    EXPECT_TRUE(table.follows({0, 7, true, {}}));
+    table.apply({0, 5, true, false, {put("a", 5)}}, start);
+    EXPECT_TRUE(table.follows({5, 6, false, false, {}}));
+    EXPECT_FALSE(table.follows({6, 7, false, false, {}}));
+    EXPECT_TRUE(table.follows({0, 7, true, false, {}}));
 }
 
 TEST(StateTable, WhoWasAwayForLongGetsTheWholeTable)
 {
     state_table table;
-    table.apply({0, 5, true, {put("a", 4), put("b", 5)}}, start);
-    table.apply({5, 6, false, {removed("a", 6)}}, start);
+    table.apply({0, 5, true, false, {put("a", 4), put("b", 5)}}, start);
+    table.apply({5, 6, false, false, {removed("a", 6)}}, start);
     EXPECT_FALSE(table.since(5).whole);
-    table.apply({6, 7, false, {put("c", 7)}}, start + 10min);
+    table.apply({6, 7, false, false, {put("c", 7)}}, start + 10min);
     EXPECT_TRUE(table.since(5).whole);
     EXPECT_FALSE(table.since(6).whole);
 }
@@ -95,9 +97,10 @@
             source.apply({before,
                           revision,
                           false,
+                          false,
                           {gone ? removed(key, revision) : put(key, revision)}},
                          start);
-        passed_on.push_back({before, revision, false, std::move(rows)});
+        passed_on.push_back({before, revision, false, false, std::move(rows)});
     }
     state_table copy;
     const auto order = *rc::gen::container<std::vector<std::size_t>>(
@@ -116,7 +119,7 @@
 RC_GTEST_PROP(StateTable, SpoiltDifferencesAreRefusedOrRead, ())
 {
     state_table table;
-    table.apply({0, 5, true, {put("a", 4), put("b", 5)}}, start);
+    table.apply({0, 5, true, false, {put("a", 4), put("b", 5)}}, start);
     auto text = to_json(table.since(0)).dump();
     text[*rc::gen::inRange<std::size_t>(0, text.size())] =
         *rc::gen::arbitrary<char>();
