Write logs to standard output without ever blocking; apply changed settings

Cause: the users ask for structured lines on standard output that never block the process, and their settings files change with and without SIGHUP.

Change: an appender that asks whether the reader has room and leaves the line out otherwise, with a count in the metrics; the router looks at its settings file every two seconds and on SIGHUP, applies what can change and says what needs a restart; a broken file changes nothing.

Ruled out: O_NONBLOCK on standard output (it is shared with other processes).

Before: lines on standard error that block; SIGHUP only logged.

--- a/apps/router/directory.hpp
+++ b/apps/router/directory.hpp
@@ -32,6 +32,11 @@
         ready_ = ready;
     }
 
+    void set_answer_lifetime(duration value)
+    {
+        answer_lifetime_ = value;
+    }
+
 private:
     void handle(std::unique_ptr<io::server_exchange> exchange);
     void tell_addresses(io::server_exchange& exchange);
--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -36,17 +36,54 @@
     return (std::uint64_t{device()} << 32) | device();
 }
 
-void run(const router::router_settings& settings)
+/// How often the settings file is looked at: it may change without a signal.
+constexpr duration settings_interval = std::chrono::seconds(2);
+
+/// Applies the settings file again when its text has changed.
+class settings_watch
+{
+public:
+    settings_watch(io::event_loop& loop, std::string file,
+                   router::router_server& server)
+        : file_(std::move(file)), server_(server), text_(read_file(file_)),
+          timer_(loop, [this] { check(); })
+    {
+        timer_.start_every(settings_interval);
+    }
+
+    void check()
+    {
+        try {
+            auto text = read_file(file_);
+            if (text == text_)
+                return;
+            text_ = std::move(text);
+            server_.apply(router::parse_router_settings(text_, file_));
+        } catch (const error& failure) {
+            io::log(io::log_level::warning, "settings_not_applied",
+                    {{"file", file_}, {"reason", failure.what()}});
+        }
+    }
+
+private:
+    std::string file_;
+    router::router_server& server_;
+    std::string text_;
+    io::timer timer_;
+};
+
+void run(const router::router_settings& settings, const std::string& file)
 {
-    io::start_log("vanillapost-router", settings.name, settings.log_level);
+    io::start_log("vanillapost-router", settings.name, settings.log_level,
+                  io::log_output::standard_output);
     io::event_loop loop;
     const auto language = platform::make_language();
     platform::store_client store(loop, settings.platform_address);
     router::router_server server(loop, settings, store, language, make_seed());
+    settings_watch watch(loop, file, server);
     loop.on_signal(SIGTERM, [&] { server.leave(); });
     loop.on_signal(SIGINT, [&] { server.leave(); });
-    // Addresses and names do not change while a process runs.
-    loop.on_signal(SIGHUP, [] { io::log(io::log_level::info, "reload"); });
+    loop.on_signal(SIGHUP, [&] { watch.check(); });
     server.start();
     loop.run();
 }
@@ -70,7 +107,7 @@
         const auto settings =
             router::parse_router_settings(read_file(file), file);
         if (!check) {
-            run(settings);
+            run(settings, file);
             // Destructors of static objects would wait for threads of
             // log4cplus that have nothing to do.
             std::_Exit(0);
--- a/apps/router/request_task.cpp
+++ b/apps/router/request_task.cpp
@@ -48,6 +48,9 @@
 constexpr duration shortest_retry_after = 150ms;
 constexpr duration longest_retry_after = 1s;
 
+/// Part of a log line that tells of the attempts, in bytes.
+constexpr std::size_t longest_history = 1200;
+
 constexpr int status_misdirected = 421;
 constexpr int status_unavailable = 503;
 constexpr int status_bad_gateway = 502;
@@ -672,7 +675,7 @@
          {"reason", std::string(reason)},
          {"taken_ms", std::to_string(to_ms(now - arrived_))},
          {"deadline_ms", std::to_string(to_ms(deadline_ - arrived_))},
-         {"attempts", history_}});
+         {"attempts", history_.substr(0, longest_history)}});
     exchange_.reset();
     context_.ended(*this);
 }
--- a/apps/router/router_log.hpp
+++ b/apps/router/router_log.hpp
@@ -16,6 +16,11 @@
 public:
     router_log(io::event_loop& loop, int lines_per_second);
 
+    void set_limit(int lines_per_second)
+    {
+        limit_ = lines_per_second;
+    }
+
     /// A line that is left out when too many were written this second. How
     /// many were left out is told when the second is over.
     void request(io::log_level level, std::string_view event,
--- a/apps/router/router_metrics.cpp
+++ b/apps/router/router_metrics.cpp
@@ -67,7 +67,9 @@
       members_(make_gauge(registry_, "vanillapost_members",
                           "Live instances, this one included")),
       targets_(make_gauge(registry_, "vanillapost_targets",
-                          "Targets that are listed"))
+                          "Targets that are listed")),
+      lost_log_lines_(make_gauge(registry_, "vanillapost_log_lines_lost",
+                                 "Log lines left out for a slow reader"))
 {
 }
 
@@ -131,6 +133,11 @@
     members_.Set(static_cast<double>(live));
 }
 
+void router_metrics::set_lost_log_lines(std::uint64_t lines)
+{
+    lost_log_lines_.Set(static_cast<double>(lines));
+}
+
 void router_metrics::set_targets(std::size_t listed)
 {
     targets_.Set(static_cast<double>(listed));
--- a/apps/router/router_metrics.hpp
+++ b/apps/router/router_metrics.hpp
@@ -41,6 +41,7 @@
     void set_store_reachable(bool reachable);
     void set_members(std::size_t live);
     void set_targets(std::size_t listed);
+    void set_lost_log_lines(std::uint64_t lines);
 
     const prometheus::Registry& registry() const
     {
@@ -67,6 +68,7 @@
     prometheus::Gauge& store_;
     prometheus::Gauge& members_;
     prometheus::Gauge& targets_;
+    prometheus::Gauge& lost_log_lines_;
     std::map<service_id, service_metrics> services_;
 };
 
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -75,6 +75,28 @@
                 {"data_centre", settings_.data_centre.value}});
 }
 
+void router_server::apply(const router_settings& settings)
+{
+    const auto before = to_json(settings_);
+    const auto after = to_json(settings);
+    std::string changed;
+    for (const auto& [field, value] : after.items())
+        if (before.at(field) != value)
+            changed += (changed.empty() ? "" : ",") + field;
+    if (changed.empty())
+        return;
+    settings_.log_level = settings.log_level;
+    settings_.log_lines_per_second = settings.log_lines_per_second;
+    settings_.answer_lifetime = settings.answer_lifetime;
+    io::set_log_level(settings.log_level);
+    log_.set_limit(settings.log_lines_per_second);
+    directory_.set_answer_lifetime(settings.answer_lifetime);
+    const bool complete = to_json(settings_) == after;
+    log_.state(
+        io::log_level::info, "settings_changed",
+        {{"fields", changed}, {"needs_restart", complete ? "no" : "yes"}});
+}
+
 void router_server::leave()
 {
     if (leaving_since_)
@@ -115,6 +137,7 @@
     engine_.set_members(live);
     metrics_.set_members(live);
     metrics_.set_targets(known_.targets.all().size());
+    metrics_.set_lost_log_lines(io::lost_log_lines());
     metrics_.set_configuration_version(known_.routes().config().version);
     metrics_.set_store_reachable(state_.access() != store_access::lost);
 }
--- a/apps/router/router_server.hpp
+++ b/apps/router/router_server.hpp
@@ -18,6 +18,10 @@
 
     void start();
 
+    /// Takes over settings that changed. Addresses and names stay as they are
+    /// until a restart.
+    void apply(const router_settings& settings);
+
     /// Ends in order: tells everybody, finishes what was read, stops the loop.
     void leave();
 
--- a/src/io/json_log.cpp
+++ b/src/io/json_log.cpp
@@ -1,6 +1,7 @@
 #include "vanillapost/src/io/json_log.hpp"
 
 #include <chrono>
+#include <climits>
 #include <ctime>
 #include <log4cplus/config.hxx>
 #include <log4cplus/consoleappender.h>
@@ -10,6 +11,8 @@
 #include <log4cplus/spi/loggingevent.h>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace vanillapost::io {
 
@@ -87,6 +90,40 @@
     std::string instance_;
 };
 
+std::uint64_t lost_lines = 0;
+
+/// Writes to standard output what its reader has room for.
+///
+/// A pipe that is reported writable takes PIPE_BUF bytes without blocking, so
+/// longer lines are cut.
+class unblocking_appender : public log4cplus::Appender
+{
+public:
+    ~unblocking_appender() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        auto& line = formatEvent(event);
+        if (line.size() > PIPE_BUF) {
+            line.resize(PIPE_BUF - 1);
+            line += '\n';
+        }
+        pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+        const bool writable =
+            ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT);
+        if (!writable || ::write(STDOUT_FILENO, line.data(), line.size()) < 0)
+            ++lost_lines;
+    }
+};
+
 log4cplus::Logger& logger()
 {
     static log4cplus::Initializer initializer;
@@ -102,15 +139,28 @@
 } // namespace
 
 void start_log(std::string_view program, std::string_view instance,
-               log_level lowest)
+               log_level lowest, log_output output)
 {
     auto& root = logger();
     root.removeAllAppenders();
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender;
+    if (output == log_output::standard_output)
+        appender = new unblocking_appender;
+    else
+        appender = new log4cplus::ConsoleAppender(true, true);
     appender->setLayout(std::make_unique<json_layout>(program, instance));
     root.addAppender(appender);
-    root.setLogLevel(to_log4cplus(lowest));
+    set_log_level(lowest);
+}
+
+void set_log_level(log_level lowest)
+{
+    logger().setLogLevel(to_log4cplus(lowest));
+}
+
+std::uint64_t lost_log_lines()
+{
+    return lost_lines;
 }
 
 void log(log_level level, std::string_view message,
--- a/test/platform/fleet.py
+++ b/test/platform/fleet.py
@@ -74,12 +74,12 @@
         self.log = Path(folder) / f"{self.name}.log"
         self.process = None
 
-    def start(self):
+    def start(self, output=None):
         self._file.write_text(json.dumps(self.settings))
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
                 [BIN / "vanillapost-router", "--settings", self._file],
-                stdout=log, stderr=log)
+                stdout=output or log, stderr=log)
 
     def signal(self, number):
         if self.process and self.process.poll() is None:
--- a/test/platform/test_router.py
+++ b/test/platform/test_router.py
@@ -285,6 +285,48 @@
     run(scenario)
 
 
+def test_changed_settings_are_applied_with_and_without_a_signal():
+    async def scenario(fleet):
+        for router, hang_up in zip(fleet.routers, (True, False)):
+            router.settings["answer_lifetime"] = "900ms"
+            router._file.write_text(json.dumps(router.settings))
+            if hang_up:
+                router.signal(signal.SIGHUP)
+            await asyncio.sleep(0.5 if hang_up else 3)
+            answer = await get(router.directory,
+                               "/resolve?name=x&region=r&zone=a")
+            assert json.loads(answer.body)["ttl"] == "900ms"
+        broken = fleet.routers[0]
+        broken._file.write_text("{")
+        broken.signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        assert await broken.is_ready()
+        assert "settings_not_applied" in broken.log.read_text()
+
+    run(scenario)
+
+
+def test_a_blocked_reader_of_the_log_blocks_no_request():
+    async def scenario(fleet):
+        router = fleet.routers[0]
+        router.signal(signal.SIGTERM)
+        await router.wait_end()
+        read_end, write_end = os.pipe()
+        router.start(output=write_end)
+        await router.wait_ready()
+        # More lines than the pipe holds, and nobody reads them.
+        await fleet.load(6, callers=12, pause_s=0.03, routes=[LOOKUP])
+        assert fleet.truth.served() > 0.99
+        answer = await get(router.metrics, "/metrics")
+        lost = [line for line in answer.body.decode().splitlines()
+                if line.startswith("vanillapost_log_lines_lost")]
+        assert lost
+        os.close(read_end)
+        os.close(write_end)
+
+    run(scenario)
+
+
 def test_refused_callers_are_told_when_to_come_back():
     async def scenario(fleet):
         for target in fleet.targets_of("ledger"):
