--- /dev/null
+++ b/apps/explain/explanation.cpp
@@ -0,0 +1,191 @@
+#include "explanation.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <map>
+#include <tuple>
+
+namespace vanillapost::explain {
+
+namespace {
+
+constexpr std::string_view ended_event = "request_ended";
+constexpr std::string_view refused_event = "request_refused";
+
+/// Events that change what an instance believes.
+constexpr std::array<std::string_view, 9> belief_events = {
+    "started",
+    "configuration_adopted",
+    "data_centres_evacuated",
+    "store_lost",
+    "store_back",
+    "follows_store",
+    "settings_changed",
+    "leaving",
+    "ready"};
+
+bool is_request(const log_line& line)
+{
+    return line.event == ended_event || line.event == refused_event;
+}
+
+std::string describe_attempts(const std::vector<told_attempt>& attempts)
+{
+    std::string text;
+    for (const auto& each : attempts) {
+        text += text.empty() ? "" : ", then ";
+        text += "target " + each.target + " (" + std::to_string(each.taken_ms) +
+                " ms: " + each.outcome + ")";
+    }
+    return text;
+}
+
+std::string explain_refusal(const log_line& line)
+{
+    const auto reason = line.field("reason");
+    const auto service = line.field("service");
+    const auto waited = line.field("taken_ms") + " ms";
+    if (reason == "all targets are full")
+        return "It waited " + waited + " for a target of " + service +
+               "; each was full, or so busy that one more request would have "
+               "been late. It was not sent.";
+    if (reason == "no target can be used")
+        return "No target of " + service +
+               " could be used: none listed, all leaving or in evacuated data "
+               "centres. It was not sent.";
+    if (reason == "too little time is left")
+        return "Its caller left " + line.field("deadline_ms") +
+               " ms, less than half of the usual work. It was not sent.";
+    if (reason == "no route matches")
+        return "Configuration " + line.field("configuration") +
+               " has no route for " + line.field("target") + ".";
+    if (reason == "no configuration is known yet")
+        return "The instance had not read any configuration yet.";
+    return "It was refused: " + reason + ".";
+}
+
+std::string explain_failure(const log_line& line,
+                            const std::vector<told_attempt>& attempts)
+{
+    const auto reason = line.field("reason");
+    const auto tried = describe_attempts(attempts);
+    if (attempts.empty())
+        return "It failed before any target had it: " + reason + ".";
+    if (reason == "no answer in time")
+        return "No target answered within " + line.field("deadline_ms") +
+               " ms: " + tried + ". It may have run.";
+    if (reason == "answered")
+        return "The target's own failure was passed on: " + tried + ".";
+    return "No usable answer came: " + tried + ". It may have run.";
+}
+
+std::string explain_delay(const std::vector<told_attempt>& attempts,
+                          const std::string& taken)
+{
+    const auto slowest = std::ranges::max_element(
+        attempts, {}, [](const auto& each) { return each.taken_ms; });
+    if (slowest == attempts.end())
+        return "It took " + taken + " ms.";
+    const long rest = std::atol(taken.c_str()) - slowest->taken_ms;
+    return "It took " + taken + " ms: target " + slowest->target + " had it " +
+           std::to_string(slowest->taken_ms) + " ms (" + slowest->outcome +
+           "), the rest " + std::to_string(std::max(rest, 0L)) +
+           " ms went into waiting and other attempts.";
+}
+
+} // namespace
+
+std::vector<told_attempt> parse_attempts(std::string_view text)
+{
+    std::vector<told_attempt> result;
+    while (!text.empty()) {
+        const auto end = text.find("; ");
+        const auto piece = text.substr(0, end);
+        text = end == std::string_view::npos ? std::string_view()
+                                             : text.substr(end + 2);
+        const auto space = piece.find(' ');
+        const auto unit = piece.find("ms ", space);
+        if (space == std::string_view::npos || unit == std::string_view::npos)
+            continue;
+        told_attempt attempt;
+        attempt.target = piece.substr(0, space);
+        attempt.taken_ms = std::atol(
+            std::string(piece.substr(space + 1, unit - space - 1)).c_str());
+        attempt.outcome = piece.substr(unit + 3);
+        result.push_back(std::move(attempt));
+    }
+    return result;
+}
+
+std::string explain_request(const log_line& line)
+{
+    const auto result =
+        line.event == refused_event ? "refused" : line.field("result");
+    const auto attempts = parse_attempts(line.field("attempts"));
+    if (result == "refused")
+        return explain_refusal(line);
+    if (result == "failed")
+        return explain_failure(line, attempts);
+    if (result == "slow")
+        return explain_delay(attempts, line.field("taken_ms"));
+    if (result == "gone")
+        return "Its caller closed the connection after " +
+               line.field("taken_ms") + " ms.";
+    return "It was answered in time.";
+}
+
+request_path find_request(std::span<const log_line> lines,
+                          std::string_view request_id)
+{
+    request_path path;
+    std::map<std::string, std::map<std::string, log_line>> beliefs;
+    for (const auto& line : lines) {
+        if (std::ranges::find(belief_events, line.event) != belief_events.end())
+            beliefs[line.instance][line.event] = line;
+        if (!is_request(line) || line.field("request_id") != request_id)
+            continue;
+        std::vector<log_line> known;
+        for (auto& [event, last] : beliefs[line.instance])
+            known.push_back(last);
+        std::ranges::sort(known, {}, &log_line::time);
+        std::ranges::move(known, std::back_inserter(path.lines));
+        beliefs[line.instance].clear();
+        path.lines.push_back(line);
+        path.cause = explain_request(line);
+    }
+    return path;
+}
+
+std::vector<failure_group> group_failures(std::span<const log_line> lines)
+{
+    std::map<std::tuple<std::string, std::string, std::string>, failure_group>
+        groups;
+    for (const auto& line : lines) {
+        if (!is_request(line))
+            continue;
+        const auto result =
+            line.event == refused_event ? "refused" : line.field("result");
+        if (result == "good" || result == "gone")
+            continue;
+        const auto service = line.field("service");
+        const auto reason = line.field("reason");
+        auto& group = groups[{service, result, reason}];
+        if (group.count++ == 0)
+            group = {service,
+                     result,
+                     reason,
+                     line.time,
+                     line.time,
+                     1,
+                     line.field("request_id")};
+        group.last = line.time;
+    }
+    std::vector<failure_group> result;
+    for (auto& [key, group] : groups)
+        result.push_back(std::move(group));
+    std::ranges::stable_sort(result, std::greater<>{}, &failure_group::count);
+    return result;
+}
+
+} // namespace vanillapost::explain
--- a/apps/router/request_task.cpp
+++ b/apps/router/request_task.cpp
@@ -289,6 +289,8 @@
     made->sent_at = now;
     made->expected = place.expected;
     made->slowness = about->slowness(now);
+    made->load = about->load(now);
+    made->report_age = about->report_age(now);
     io::target_call_request request;
     request.bytes = format_request(*record, now);
     request.id = attempt_id();
@@ -543,14 +545,28 @@
         about->on_report(*report, false, context_.loop.now());
 }
 
+// What was known of the target decides the attempt, so it goes beside its end.
+void request_task::note_history(const attempt& ended, std::string_view outcome)
+{
+    char known[96];
+    std::snprintf(known, sizeof known,
+                  " [expected %lldms, load %.1f, report %lldms old]",
+                  static_cast<long long>(to_ms(ended.expected)), ended.load,
+                  static_cast<long long>(
+                      std::min<std::int64_t>(to_ms(ended.report_age), 99'999)));
+    const auto taken = to_ms(context_.loop.now() - ended.sent_at);
+    history_ += (history_.empty() ? "" : "; ") + ended.target.value + " " +
+                std::to_string(taken) + "ms ";
+    history_ += outcome;
+    history_ += known;
+}
+
 void request_task::note_ended(const attempt& ended,
                               const attempt_outcome& outcome)
 {
     const auto now = context_.loop.now();
     const auto taken = now - ended.sent_at;
-    history_ += (history_.empty() ? "" : "; ") + ended.target.value + " " +
-                std::to_string(to_ms(taken)) + "ms " +
-                vanillapost::describe(outcome);
+    note_history(ended, vanillapost::describe(outcome));
     auto* about = context_.known.placer.find(ended.target);
     if (!about)
         return;
@@ -602,8 +618,7 @@
     for (auto& each : attempts_) {
         ledger_.on_abandoned();
         const auto taken = now - each->sent_at;
-        history_ += (history_.empty() ? "" : "; ") + each->target.value + " " +
-                    std::to_string(to_ms(taken)) + "ms abandoned";
+        note_history(*each, "abandoned");
         auto* about = context_.known.placer.find(each->target);
         if (!about)
             continue;
--- a/apps/router/request_task.hpp
+++ b/apps/router/request_task.hpp
@@ -60,8 +60,10 @@
         target_id target;
         std::unique_ptr<io::target_call> call;
         time_point sent_at{};
-        duration expected{}; ///< with the target's load and pace
-        double slowness = 1; ///< of the target when it was sent
+        duration expected{};   ///< with the target's load and pace
+        double slowness = 1;   ///< of the target when it was sent
+        double load = 0;       ///< of the target when it was sent
+        duration report_age{}; ///< of what was known of the target then
         attempt_progress progress{duration(1), 1, time_point{}};
         io::target_answer_head head;
         std::string body;
@@ -106,6 +108,7 @@
     void on_timer();
     void arm_timer();
     std::unique_ptr<attempt> take_attempt(attempt& ended);
+    void note_history(const attempt& ended, std::string_view outcome);
     std::string attempt_id() const;
     duration waiting_limit() const;
 
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -28,3 +28,6 @@
   target_sources(test_${part} PRIVATE apps/router/${part}.cpp)
   target_include_directories(test_${part} PRIVATE apps/router)
 endforeach()
+target_sources(test_explain PRIVATE
+  apps/explain/explanation.cpp apps/explain/log_reader.cpp)
+target_include_directories(test_explain PRIVATE apps/explain)
--- /dev/null
+++ b/test/explain.cpp
@@ -0,0 +1,100 @@
+#include "explanation.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <sstream>
+
+using namespace vanillapost::explain;
+
+namespace {
+
+std::string line(const std::string& time, const std::string& instance,
+                 const std::string& event, const std::string& more = "")
+{
+    return "  12.5 " + instance + R"( {"time":")" + time + R"(","instance":")" +
+           instance + R"(","message":")" + event + '"' + more + "}\n";
+}
+
+std::string ended(const std::string& id, const std::string& result,
+                  const std::string& reason, const std::string& attempts)
+{
+    return R"(,"request_id":")" + id + R"(","result":")" + result +
+           R"(","reason":")" + reason + R"(","attempts":")" + attempts +
+           R"(","service":"stock","taken_ms":"37","deadline_ms":"1200")";
+}
+
+log_contents read(const std::string& text)
+{
+    std::istringstream input(text);
+    log_contents contents;
+    read_log(input, contents);
+    sort_lines(contents);
+    return contents;
+}
+
+TEST(Explain, AttemptsAreReadFromTheirText)
+{
+    const auto attempts = parse_attempts(
+        "i-1 300ms not sent: no connection in time; i-2 95ms answered: 200");
+    ASSERT_EQ(attempts.size(), 2u);
+    EXPECT_EQ(attempts[0].target, "i-1");
+    EXPECT_EQ(attempts[0].taken_ms, 300);
+    EXPECT_EQ(attempts[0].outcome, "not sent: no connection in time");
+    EXPECT_EQ(attempts[1].outcome, "answered: 200");
+}
+
+TEST(Explain, ARequestsPathShowsWhatItsInstanceKnew)
+{
+    const auto contents =
+        read(line("t3", "r1", "request_ended",
+                  ended("x", "refused", "all targets are full", "")) +
+             line("t1", "r1", "configuration_adopted", R"(,"version":"7")") +
+             line("t2", "r2", "store_lost") + "noise\n");
+    EXPECT_EQ(contents.unreadable, 1u);
+    const auto path = find_request(contents.lines, "x");
+    ASSERT_EQ(path.lines.size(), 2u);
+    EXPECT_EQ(path.lines[0].field("version"), "7");
+    EXPECT_NE(path.cause.find("was not sent"), std::string::npos);
+    EXPECT_TRUE(find_request(contents.lines, "y").lines.empty());
+}
+
+TEST(Explain, FailuresAreGroupedByCause)
+{
+    std::string text;
+    for (const auto* id : {"a", "b", "c"})
+        text += line(
+            "t1", "r1", "request_ended",
+            ended(id, "failed", "no answer in time", "i-1 1200ms abandoned"));
+    text += line("t2", "r1", "request_ended",
+                 ended("d", "slow", "answered", "i-2 500ms answered: 200"));
+    text += line("t3", "r1", "request_ended",
+                 ended("e", "good", "answered", "i-2 50ms answered: 200"));
+    const auto groups = group_failures(read(text).lines);
+    ASSERT_EQ(groups.size(), 2u);
+    EXPECT_EQ(groups[0].count, 3u);
+    EXPECT_EQ(groups[0].example, "a");
+    EXPECT_EQ(groups[1].result, "slow");
+}
+
+TEST(Explain, EveryResultHasASentence)
+{
+    for (const auto* result : {"good", "slow", "refused", "failed", "gone"}) {
+        const auto contents = read(
+            line("t", "r", "request_ended", ended("x", result, "why", "")));
+        EXPECT_FALSE(explain_request(contents.lines.at(0)).empty()) << result;
+    }
+}
+
+RC_GTEST_PROP(Explain, SurvivesAnyLine, ())
+{
+    auto text = line("t", "r", "request_ended",
+                     ended("x", "failed", "why", "i-1 5ms lost; i-2"));
+    text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+        *rc::gen::arbitrary<char>();
+    const auto contents = read(text);
+    for (const auto& each : contents.lines)
+        explain_request(each);
+    group_failures(contents.lines);
+}
+
+} // namespace
