--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,8 +1,9 @@
 #include "entry_server.hpp"
 
+#include "vanillapost/src/io/text_file.hpp"
+
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -13,16 +14,7 @@
 
 constexpr int exit_bad_settings = 1;
 constexpr int exit_failed = 2;
-
-std::string read_file(const std::string& path)
-{
-    std::ifstream file(path);
-    if (!file)
-        throw error("read settings", path, "cannot be opened");
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
+constexpr std::string_view settings_step = "read settings";
 
 /// Unlike the seeded generator of the decisions, no two processes may have
 /// the same.
@@ -80,7 +72,8 @@
     }
     entry::entry_settings settings;
     try {
-        settings = entry::parse_entry_settings(read_file(file), file);
+        settings = entry::parse_entry_settings(
+            io::read_text_file(file, settings_step), file);
     } catch (const field_error& failure) {
         for (const auto& each : failure.problems())
             std::cerr << file << ": " << each.field << ": found " << each.found
--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -4,13 +4,13 @@
 
 #include "vanillapost/records.hpp"
 
+#include "vanillapost/src/io/text_file.hpp"
+
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 namespace {
 
@@ -18,16 +18,7 @@
 
 constexpr int exit_bad_settings = 1;
 constexpr int exit_failed = 2;
-
-std::string read_file(const std::string& path)
-{
-    std::ifstream file(path);
-    if (!file)
-        throw error("read settings", path, "cannot be opened");
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
+constexpr std::string_view settings_step = "read settings";
 
 // No two processes may have the same: it tells incarnations apart.
 std::uint64_t make_seed()
@@ -45,7 +36,8 @@
 public:
     settings_watch(io::event_loop& loop, std::string file,
                    router::router_server& server)
-        : file_(std::move(file)), server_(server), text_(read_file(file_)),
+        : file_(std::move(file)), server_(server),
+          text_(io::read_text_file(file_, settings_step)),
           timer_(loop, [this] { check(); })
     {
         timer_.start_every(settings_interval);
@@ -54,7 +46,7 @@
     void check()
     {
         try {
-            auto text = read_file(file_);
+            auto text = io::read_text_file(file_, settings_step);
             if (text == text_)
                 return;
             text_ = std::move(text);
@@ -104,8 +96,8 @@
     app.add_flag("--check", check, "check the settings and end");
     CLI11_PARSE(app, argc, argv);
     try {
-        const auto settings =
-            router::parse_router_settings(read_file(file), file);
+        const auto settings = router::parse_router_settings(
+            io::read_text_file(file, settings_step), file);
         if (!check) {
             run(settings, file);
             // Destructors of static objects would wait for threads of
--- a/apps/router/request_task.hpp
+++ b/apps/router/request_task.hpp
@@ -82,15 +82,12 @@
     void measure(const std::vector<target_id>& targets);
     void wait_for_slot(duration until_room);
     void send(const place_on& place, bool hedge);
-    std::string format_request(const listed_target& target,
-                               time_point now) const;
     io::target_call_handlers make_handlers(attempt& made);
     void take_head(attempt& from, io::target_answer_head&& head);
     void take_data(attempt& from, std::string_view data);
     void begin_streaming(attempt& from);
     void take_end(attempt& from);
     void take_failure(attempt& from, const io::target_failure& failure);
-    attempt_outcome judge(const attempt& ended) const;
     void note_ended(const attempt& ended, const attempt_outcome& outcome);
     void note_report(const attempt& from);
     void proceed(attempt& ended, const attempt_outcome& outcome);
--- a/apps/router/route_statistics.cpp
+++ b/apps/router/route_statistics.cpp
@@ -23,9 +23,7 @@
         return duration(static_cast<duration::rep>(found->second.work_us));
     if (rule.latency_objective == duration::zero())
         return work_without_objective;
-    return duration(static_cast<duration::rep>(
-        static_cast<double>(rule.latency_objective.count()) *
-        work_share_of_objective));
+    return scaled(rule.latency_objective, work_share_of_objective);
 }
 
 double route_statistics::expected_kib(const route& rule) const
--- /dev/null
+++ b/apps/router/target_message.cpp
@@ -0,0 +1,72 @@
+#include "target_message.hpp"
+
+#include "vanillapost/base.hpp"
+
+#include <algorithm>
+
+namespace vanillapost::router {
+
+namespace {
+
+constexpr int status_misdirected = 421;
+
+} // namespace
+
+std::string format_target_message(const io::http_request& request,
+                                  const listed_target& target,
+                                  const header_names& names, duration left)
+{
+    const auto host = io::find_header(request.headers, "Host");
+    const auto connection =
+        io::find_header(request.headers, "Connection").value_or("");
+    std::string text =
+        request.method + ' ' + request.target +
+        " HTTP/1.1\r\nHost: " + std::string(host.value_or(target.address)) +
+        "\r\n";
+    for (const auto& field : request.headers) {
+        const bool replaced =
+            io::same_header_name(field.name, "Host") ||
+            io::same_header_name(field.name, names.deadline_ms) ||
+            io::same_header_name(field.name, names.target_instance);
+        if (!replaced && !io::is_hop_header(field.name, connection))
+            text += field.name + ": " + field.value + "\r\n";
+    }
+    const auto left_ms = std::max<std::int64_t>(to_ms(left), 1);
+    text += names.deadline_ms + ": " + std::to_string(left_ms) + "\r\n";
+    text += names.target_instance + ": " + target.id.value + "\r\n";
+    const bool has_length =
+        !request.body.empty() ||
+        io::find_header(request.headers, "Content-Length").has_value();
+    if (has_length)
+        text +=
+            "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    return text + "\r\n" + request.body;
+}
+
+attempt_outcome judge_answer(const io::target_answer_head& head,
+                             const header_names& names)
+{
+    const auto has = [&](const std::string& name) {
+        return io::find_header(head.headers, name).has_value();
+    };
+    if (has(names.not_executed))
+        return attempt_refused{head.status};
+    const bool sealed = has(names.seal);
+    if (head.status == status_misdirected && !sealed)
+        return attempt_misdirected{};
+    if (!sealed)
+        return attempt_lost{"status " + std::to_string(head.status) +
+                            " without the target's proof"};
+    if (has("Content-Encoding"))
+        return attempt_lost{"an encoded body that was not asked for"};
+    return attempt_answered{head.status};
+}
+
+std::optional<load_report> read_report(const io::target_answer_head& head,
+                                       const platform_language& language)
+{
+    const auto header = io::find_header(head.headers, language.headers.load);
+    return header ? language.read_load(*header) : std::nullopt;
+}
+
+} // namespace vanillapost::router
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -31,3 +31,5 @@
 target_sources(test_explain PRIVATE
   apps/explain/explanation.cpp apps/explain/log_reader.cpp)
 target_include_directories(test_explain PRIVATE apps/explain)
+target_sources(test_target_message PRIVATE apps/router/target_message.cpp)
+target_include_directories(test_target_message PRIVATE apps/router)
--- a/include/vanillapost/src/base/time.hpp
+++ b/include/vanillapost/src/base/time.hpp
@@ -24,6 +24,13 @@
 /// A point on one process's monotonic time line; never sent to a peer.
 using time_point = monotonic_clock::time_point;
 
+/// A part or a multiple of a time.
+constexpr duration scaled(duration value, double factor)
+{
+    return duration(static_cast<duration::rep>(
+        static_cast<double>(value.count()) * factor));
+}
+
 } // namespace vanillapost
 
 #endif
--- a/include/vanillapost/src/io/http_message.hpp
+++ b/include/vanillapost/src/io/http_message.hpp
@@ -24,6 +24,10 @@
 std::optional<std::string_view> find_header(std::span<const header_field> list,
                                             std::string_view name);
 
+/// Whether a header concerns one connection only and is not passed on.
+/// \param connection  the message's `Connection` header, which may name more
+bool is_hop_header(std::string_view name, std::string_view connection = "");
+
 /// What a client sends.
 struct http_request
 {
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -3,7 +3,6 @@
 #include "vanillapost/src/io/detail/socket.hpp"
 
 #include <algorithm>
-#include <array>
 #include <event2/event.h>
 
 namespace vanillapost::io::detail {
@@ -23,17 +22,6 @@
 constexpr int status_too_large = 413;
 constexpr int status_headers_too_large = 431;
 
-constexpr std::array<std::string_view, 8> hop_headers = {
-    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
-    "TE",         "Trailer",    "Upgrade",           "Proxy-Connection"};
-
-bool is_hop_header(std::string_view name)
-{
-    return std::ranges::any_of(hop_headers, [&](std::string_view each) {
-        return same_header_name(each, name);
-    });
-}
-
 caller_connection& connection_of(void* self)
 {
     return *static_cast<caller_connection*>(self);
--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -71,13 +71,16 @@
 
     async def kill_router(self):
         router = self.random.choice(self.fleet.routers)
-        if router.process.poll() is not None:
+        process = router.process
+        if process.poll() is not None:
             return
         begin = time.monotonic()
-        router.signal(signal.SIGKILL)
-        await router.wait_end()
+        process.kill()
+        while process.poll() is None:
+            await asyncio.sleep(0.02)
         await self.pause(0.1, 1.5)
-        if router.process.poll() is not None:
+        # Another fault may have started it meanwhile.
+        if router.process is process:
             router.start()
         self.frozen.append((router.front, begin, time.monotonic()))
 
--- /dev/null
+++ b/test/target_message.cpp
@@ -0,0 +1,101 @@
+#include "target_message.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace vanillapost;
+using namespace vanillapost::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+header_names make_names()
+{
+    header_names names;
+    names.attempt_id = "Id";
+    names.deadline_ms = "Left";
+    names.target_instance = "Only";
+    names.seal = "Proof";
+    names.not_executed = "Not-Run";
+    return names;
+}
+
+listed_target make_target()
+{
+    listed_target target;
+    target.id = {"t1"};
+    target.address = "127.0.0.1:1";
+    return target;
+}
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+TEST(TargetMessage, CarriesTheRequestAndWhatTheTargetMustKnow)
+{
+    const io::http_request request{
+        "POST", "/a?b=c", {{"Host", "h"}, {"Id", "7"}, {"X", "y"}}, "body"};
+    const auto text =
+        format_target_message(request, make_target(), make_names(), 250ms);
+    EXPECT_TRUE(text.starts_with("POST /a?b=c HTTP/1.1\r\nHost: h\r\n"));
+    EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
+    for (const auto* line : {"Id: 7\r\n", "X: y\r\n", "Left: 250\r\n",
+                             "Only: t1\r\n", "Content-Length: 4\r\n"})
+        EXPECT_TRUE(has(text, line)) << line;
+}
+
+// What a caller says of its connection, or in the system's name, stays here.
+TEST(TargetMessage, LeavesOutWhatConcernsOneConnectionOnly)
+{
+    const io::http_request request{"GET",
+                                   "/",
+                                   {{"Connection", "close, X-Own"},
+                                    {"X-Own", "1"},
+                                    {"Keep-Alive", "timeout=5"},
+                                    {"Transfer-Encoding", "chunked"},
+                                    {"Expect", "100-continue"},
+                                    {"Left", "99999"},
+                                    {"only", "t2"}},
+                                   ""};
+    const auto text =
+        format_target_message(request, make_target(), make_names(), 1ms);
+    for (const auto* part : {"close", "X-Own", "Keep-Alive", "chunked",
+                             "100-continue", "99999", "t2", "Content-Length"})
+        EXPECT_FALSE(has(text, part)) << part;
+}
+
+TEST(TargetMessage, ADeadlineIsNeverSentAsZero)
+{
+    const auto text =
+        format_target_message({}, make_target(), make_names(), -5ms);
+    EXPECT_TRUE(has(text, "Left: 1\r\n"));
+}
+
+template <class Outcome>
+bool judged(int status, io::header_list headers)
+{
+    return std::holds_alternative<Outcome>(
+        judge_answer({status, std::move(headers), {}}, make_names()));
+}
+
+TEST(TargetMessage, OnlyAProvenAnswerCounts)
+{
+    EXPECT_TRUE(judged<attempt_answered>(200, {{"Proof", "x"}}));
+    EXPECT_TRUE(judged<attempt_answered>(500, {{"Proof", "x"}}));
+    EXPECT_TRUE(judged<attempt_lost>(200, {}));
+    EXPECT_TRUE(judged<attempt_lost>(500, {}));
+    EXPECT_TRUE(judged<attempt_lost>(
+        200, {{"Proof", "x"}, {"Content-Encoding", "gzip"}}));
+}
+
+TEST(TargetMessage, OnlyTheTargetsWordMeansNotRun)
+{
+    EXPECT_TRUE(judged<attempt_refused>(503, {{"Not-Run", "1"}}));
+    EXPECT_TRUE(judged<attempt_lost>(503, {}));
+    EXPECT_TRUE(judged<attempt_lost>(429, {}));
+    EXPECT_TRUE(judged<attempt_misdirected>(421, {}));
+    EXPECT_TRUE(judged<attempt_answered>(421, {{"Proof", "x"}}));
+}
+
+} // namespace
