--- a/apps/router/request_attempts.cpp
+++ b/apps/router/request_attempts.cpp
@@ -22,6 +22,9 @@
 /// after this part of the usual work time, then at shorter intervals, a
 /// bounded number of times.
 constexpr double first_look = 0.5;
+/// An attempt that is given up on after so many times the expected time
+/// counts as a failure of its target.
+constexpr double overdue_factor = 2.5;
 
 bool is_success(int status)
 {
@@ -298,9 +301,12 @@
         auto* about = context_.known.placer.find(each->target);
         if (!about)
             continue;
-        about->on_ended(attempt_verdict::neutral, now);
         const auto plain = scaled(each->expected, 1 / each->slowness);
-        if (taken > 2 * plain)
+        // A target that is silent to some requests answers its probes.
+        const bool overdue = taken > scaled(plain, overdue_factor);
+        about->on_ended(
+            overdue ? attempt_verdict::failed : attempt_verdict::neutral, now);
+        if (overdue)
             about->on_service_time(taken, plain, now);
     }
     attempts_.clear();
--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -28,3 +28,13 @@
     ENVIRONMENT "VANILLAPOST_BIN=${PROJECT_BINARY_DIR}"
     RUN_SERIAL TRUE LABELS process TIMEOUT 120)
 endforeach()
+
+# A short soak with fixed seeds; test/platform/soak.py plays more by hand.
+foreach(seed 11 29)
+  add_test(NAME router_soak_${seed}
+    COMMAND /usr/bin/python3 ${PROJECT_SOURCE_DIR}/test/platform/soak.py
+      --seed ${seed} --seconds 6)
+  set_tests_properties(router_soak_${seed} PROPERTIES
+    ENVIRONMENT "VANILLAPOST_BIN=${PROJECT_BINARY_DIR}"
+    RUN_SERIAL TRUE LABELS process TIMEOUT 120)
+endforeach()
