Leave out targets and members with addresses that cannot be used

Cause: read in the code: a row with proper types and an address that is none ("nowhere") named a target; a request placed there would have thrown out of the event loop. Members named by a peer's state were not checked either.

Ruled out: that probes keep such a target away for good (its suspicion ends).

Change: both are checked where they come in; unit test and a row of another writer in the process test.

--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -231,11 +231,7 @@
 
 void peer_controller::take_hello(const io::address& from, const json& message)
 {
-    const auto who = parse_member(message.at("hello"));
-    // Checked here, so that an address from a peer can be used later on.
-    io::parse_address(who.peer_address);
-    io::parse_address(who.query_address);
-    known_.members.on_known(who, loop_.now());
+    state_.add_member(message.at("hello"));
     if (message.at("ask").get<bool>())
         send_hello(from, false);
     take_pulse(from, message);
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -141,12 +141,21 @@
         merge(shared_table::targets,
               parse_state_difference(difference.at("targets")));
         for (const auto& each : difference.at("members"))
-            known_.members.on_known(parse_member(each), loop_.now());
+            add_member(each);
     } catch (const json::exception& failure) {
         throw error("read state", "", failure.what());
     }
 }
 
+void state_controller::add_member(const json& document)
+{
+    const auto who = parse_member(document);
+    // Checked here, so that these can be used later on without a check.
+    io::parse_address(who.peer_address);
+    io::parse_address(who.query_address);
+    known_.members.on_known(who, loop_.now());
+}
+
 void state_controller::merge(shared_table which,
                              const state_difference& difference)
 {
@@ -264,7 +273,7 @@
         }
         for (const auto& each : list) {
             try {
-                known_.members.on_known(parse_member(each), loop_.now());
+                add_member(each);
             } catch (const error& failure) {
                 report("members_unreadable", row.key, failure.what());
             }
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state_controller.hpp
@@ -56,6 +56,10 @@
     /// Takes over changes of one table, unless some before them are missing.
     void merge(shared_table which, const state_difference& difference);
 
+    /// Takes a member that a peer or the store names.
+    /// \throws error  when it cannot be read, or cannot be reached as it says
+    void add_member(const nlohmann::json& document);
+
     /// Reads the list of members that an instance left in the store.
     void read_members();
 
--- a/test/platform/test_router.py
+++ b/test/platform/test_router.py
@@ -159,8 +159,14 @@
 
 def test_rows_of_other_writers_are_left_out():
     async def scenario(fleet):
+        lying = {"address": "nowhere", "born": 1,
+                 "info": {"service": "stock", "version": "v1", "zone": "a",
+                          "maxConcurrency": 2},
+                 "status": {"state": "ready", "sequence": 1,
+                            "warmupLeft": "0ms"}}
         for key, value in (("x1", b"\xff\xfe"), ("x2", "[]"),
-                           ("x3", '{"address":"127.0.0.1:1"}')):
+                           ("x3", '{"address":"127.0.0.1:1"}'),
+                           ("x4", json.dumps(lying))):
             await fleet.store.put("servers", key, value)
         await fleet.store.put("op", "config", '{"version":"r999"}')
         await asyncio.sleep(1)
--- a/test/platform_decode.cpp
+++ b/test/platform_decode.cpp
@@ -70,6 +70,11 @@
         broken[at] = nlohmann::json::array({1});
         EXPECT_THROW(decode_target("i", broken.dump()), error) << path;
     }
+    for (const auto* address : {"", "nowhere", "10.0.0.1", "a.example:80"}) {
+        auto unusable = whole;
+        unusable["address"] = address;
+        EXPECT_THROW(decode_target("i", unusable.dump()), error) << address;
+    }
     auto unknown = whole;
     unknown["status"]["state"] = "asleep";
     EXPECT_THROW(decode_target("i", unknown.dump()), error);
