Say heartbeat for what members tell each other

Cause: read as a newcomer: the code had two words, pulse and heartbeat, for one thing, and two names that said little (lonely_after, looks).

Change: names only; the key of the message between routers follows.

Ruled out: a change of behaviour; all instances of a deployment run one build.

--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -15,7 +15,7 @@
 constexpr duration reader_heartbeat = 250ms;
 /// How long an instance without state waits for a peer that has some, before
 /// it asks the store itself.
-constexpr duration lonely_after = 700ms;
+constexpr duration peer_wait = 700ms;
 /// Seeds may start a little later than those that greet them.
 constexpr duration greeting_interval = 100ms;
 /// A change that is passed on may still be on its way when a heartbeat tells
@@ -64,7 +64,7 @@
 {
     const auto now = loop_.now();
     const bool alone = known_.members.live_peers(now).empty();
-    if (!alone || now >= started_ + lonely_after) {
+    if (!alone || now >= started_ + peer_wait) {
         beat();
         return;
     }
@@ -83,14 +83,14 @@
     if (ready_ == ready)
         return;
     ready_ = ready;
-    send_pulse();
+    send_heartbeat();
 }
 
 void peer_controller::leave()
 {
     leaving_ = true;
     ready_ = false;
-    send_pulse();
+    send_heartbeat();
 }
 
 duration peer_controller::interval() const
@@ -99,9 +99,9 @@
     return state_.is_following() ? std::min(reader_heartbeat, usual) : usual;
 }
 
-member_pulse peer_controller::pulse() const
+member_heartbeat peer_controller::make_heartbeat() const
 {
-    member_pulse result;
+    member_heartbeat result;
     result.name = known_.members.self().name;
     result.incarnation = known_.members.self().incarnation;
     result.ready = ready_;
@@ -118,7 +118,7 @@
     if (known_.members.advance(now))
         known_.refresh_members(now);
     choose_source();
-    send_pulse();
+    send_heartbeat();
     if (known_.members.live_peers(now).empty())
         greet_seeds();
     ask_if_behind();
@@ -151,9 +151,9 @@
         to, {reinterpret_cast<const char*>(encoded.data()), encoded.size()});
 }
 
-void peer_controller::send_pulse()
+void peer_controller::send_heartbeat()
 {
-    const json message = {{"pulse", to_json(pulse())}};
+    const json message = {{"heartbeat", to_json(make_heartbeat())}};
     const auto encoded = json::to_cbor(message);
     const std::string_view bytes(reinterpret_cast<const char*>(encoded.data()),
                                  encoded.size());
@@ -164,7 +164,7 @@
 void peer_controller::send_hello(const io::address& to, bool ask)
 {
     send(to, {{"hello", to_json(known_.members.self())},
-              {"pulse", to_json(pulse())},
+              {"heartbeat", to_json(make_heartbeat())},
               {"ask", ask}});
 }
 
@@ -187,7 +187,7 @@
                           {"change", to_json(difference)}};
     const auto encoded = json::to_cbor(message);
     if (encoded.size() > max_relay_bytes) {
-        send_pulse();
+        send_heartbeat();
         return;
     }
     const std::string_view bytes(reinterpret_cast<const char*>(encoded.data()),
@@ -218,8 +218,8 @@
         take_hello(from, message);
         return;
     }
-    if (message.contains("pulse")) {
-        take_pulse(from, message);
+    if (message.contains("heartbeat")) {
+        take_heartbeat(from, message);
         return;
     }
     const auto which = message.at("table").get<std::string>() ==
@@ -234,20 +234,21 @@
     state_.add_member(message.at("hello"));
     if (message.at("ask").get<bool>())
         send_hello(from, false);
-    take_pulse(from, message);
+    take_heartbeat(from, message);
 }
 
-void peer_controller::take_pulse(const io::address& from, const json& message)
+void peer_controller::take_heartbeat(const io::address& from,
+                                     const json& message)
 {
-    const auto pulse = parse_member_pulse(message.at("pulse"));
+    const auto heartbeat = parse_member_heartbeat(message.at("heartbeat"));
     const auto now = loop_.now();
-    if (!known_.members.on_pulse(pulse, now)) {
+    if (!known_.members.on_heartbeat(heartbeat, now)) {
         send_hello(from, true);
         return;
     }
     if (known_.members.advance(now))
         known_.refresh_members(now);
-    if (state_.revisions().is_behind(pulse.revisions) && !question_)
+    if (state_.revisions().is_behind(heartbeat.revisions) && !question_)
         ask_timer_.start_once(
             state_.revisions() == state_revisions{} ? duration(1) : relay_time);
 }
@@ -258,7 +259,7 @@
         return;
     std::vector<member> knowing;
     for (const auto& peer : known_.members.live_peers(loop_.now()))
-        if (state_.revisions().is_behind(peer.pulse.revisions))
+        if (state_.revisions().is_behind(peer.heartbeat.revisions))
             knowing.push_back(peer.who);
     if (!knowing.empty())
         ask(knowing[random_() % knowing.size()]);
@@ -314,7 +315,7 @@
         return;
     const auto live = known_.members.live_peers(now);
     const bool first = std::ranges::none_of(live, [&](const auto& each) {
-        return each.pulse.following &&
+        return each.heartbeat.following &&
                each.who.name < known_.members.self().name;
     });
     std::vector<member> list;
--- a/apps/router/peer_controller.hpp
+++ b/apps/router/peer_controller.hpp
@@ -39,19 +39,19 @@
 private:
     void join();
     void beat();
-    void send_pulse();
+    void send_heartbeat();
     void send_hello(const io::address& to, bool ask);
     void greet_seeds();
     void send(const io::address& to, const nlohmann::json& message);
     void take_datagram(const io::address& from, std::string_view bytes);
     void take_message(const io::address& from, const nlohmann::json& message);
     void take_hello(const io::address& from, const nlohmann::json& message);
-    void take_pulse(const io::address& from, const nlohmann::json& message);
+    void take_heartbeat(const io::address& from, const nlohmann::json& message);
     void choose_source();
     void ask_if_behind();
     void ask(const member& peer);
     void keep_member_list();
-    member_pulse pulse() const;
+    member_heartbeat make_heartbeat() const;
     duration interval() const;
     bool is_seed() const;
 
--- a/apps/router/request_attempts.cpp
+++ b/apps/router/request_attempts.cpp
@@ -21,7 +21,7 @@
 /// The target of a request that may be hedged is probed while it works: first
 /// after this part of the usual work time, then at shorter intervals, a
 /// bounded number of times.
-constexpr double first_look = 0.5;
+constexpr double first_check = 0.5;
 /// An attempt that is given up on after so many times the expected time
 /// counts as a failure of its target.
 constexpr double overdue_factor = 2.5;
@@ -78,7 +78,7 @@
         context_.known.placer.current_factor(started.target, now), now);
     if (first && may_repeat(rule_.kind))
         watch_at_ =
-            now + scaled(context_.statistics.expected_work(rule_), first_look);
+            now + scaled(context_.statistics.expected_work(rule_), first_check);
 }
 
 std::string request_task::attempt_id() const
--- a/apps/router/request_task.cpp
+++ b/apps/router/request_task.cpp
@@ -21,9 +21,9 @@
 /// is put behind others at a target, or refused.
 constexpr int waiting_share = 8;
 constexpr duration shortest_waiting_limit = 20ms;
-constexpr double look_interval = 0.25;
-constexpr duration shortest_look_interval = 25ms;
-constexpr int most_looks = 10;
+constexpr double check_interval = 0.25;
+constexpr duration shortest_check_interval = 25ms;
+constexpr int most_checks = 10;
 /// A new attempt takes somewhat longer than its work on an idle target.
 constexpr double fresh_attempt_factor = 1.1;
 /// Share of the repeat budget that hedges leave to repeats after failures.
@@ -197,8 +197,8 @@
 duration request_task::watch_interval() const
 {
     return std::max(
-        scaled(context_.statistics.expected_work(rule_), look_interval),
-        shortest_look_interval);
+        scaled(context_.statistics.expected_work(rule_), check_interval),
+        shortest_check_interval);
 }
 
 void request_task::on_gone()
@@ -213,7 +213,7 @@
     watch_at_ = time_point::max();
     const auto now = context_.loop.now();
     const bool allowed =
-        ++looks_ <= most_looks && ledger_.may_start() &&
+        ++checks_ <= most_checks && ledger_.may_start() &&
         context_.budgets.of(service_).has_room(now, hedge_reserve);
     if (!allowed)
         return;
--- a/apps/router/request_task.hpp
+++ b/apps/router/request_task.hpp
@@ -123,7 +123,7 @@
     time_point measure_until_{};
     time_point retry_place_at_ = time_point::max();
     time_point watch_at_ = time_point::max(); ///< next look at the attempt
-    int looks_ = 0;
+    int checks_ = 0;
     int probe_rounds_ = 0;
     bool hedging_ = false; ///< what is being placed is a hedge
     std::set<target_id> measured_;
--- a/include/vanillapost/src/members/member.hpp
+++ b/include/vanillapost/src/members/member.hpp
@@ -45,7 +45,7 @@
 };
 
 /// What an instance tells its peers again and again.
-struct member_pulse
+struct member_heartbeat
 {
     entry_id name;
     std::string incarnation;
--- a/include/vanillapost/src/members/member_codec.hpp
+++ b/include/vanillapost/src/members/member_codec.hpp
@@ -9,12 +9,13 @@
 
 nlohmann::json to_json(const member& who);
 
-/// With names of one letter: a pulse goes to every peer about once a second.
-nlohmann::json to_json(const member_pulse& pulse);
+/// With names of one letter: a heartbeat goes to every peer about once a
+/// second.
+nlohmann::json to_json(const member_heartbeat& heartbeat);
 
 /// \throws error  when a field is missing or of another type
 member parse_member(const nlohmann::json& document);
-member_pulse parse_member_pulse(const nlohmann::json& document);
+member_heartbeat parse_member_heartbeat(const nlohmann::json& document);
 
 } // namespace vanillapost
 
--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -28,7 +28,7 @@
 struct known_member
 {
     member who;
-    member_pulse pulse;
+    member_heartbeat heartbeat;
     duration silent_for{};
 };
 
@@ -45,7 +45,7 @@
     void on_known(const member& who, time_point now);
 
     /// \return false when the sender is unknown: ask it who it is
-    bool on_pulse(const member_pulse& pulse, time_point now);
+    bool on_heartbeat(const member_heartbeat& heartbeat, time_point now);
 
     /// Whether the set of live or ready members changed since the last call.
     bool advance(time_point now);
@@ -70,7 +70,7 @@
     struct entry
     {
         member who;
-        member_pulse pulse;
+        member_heartbeat heartbeat;
         std::optional<time_point> heard;
         time_point known_since{};
         bool was_live = false;
--- a/src/members/member_codec.cpp
+++ b/src/members/member_codec.cpp
@@ -22,16 +22,16 @@
             {"query_address", who.query_address}};
 }
 
-json to_json(const member_pulse& pulse)
+json to_json(const member_heartbeat& heartbeat)
 {
-    return {{"n", pulse.name.value},
-            {"i", pulse.incarnation},
-            {"r", pulse.ready},
-            {"l", pulse.leaving},
-            {"f", pulse.following},
-            {"s", static_cast<int>(pulse.store)},
-            {"o", pulse.revisions.operators},
-            {"t", pulse.revisions.targets}};
+    return {{"n", heartbeat.name.value},
+            {"i", heartbeat.incarnation},
+            {"r", heartbeat.ready},
+            {"l", heartbeat.leaving},
+            {"f", heartbeat.following},
+            {"s", static_cast<int>(heartbeat.store)},
+            {"o", heartbeat.revisions.operators},
+            {"t", heartbeat.revisions.targets}};
 }
 
 member parse_member(const json& document)
@@ -50,22 +50,23 @@
     }
 }
 
-member_pulse parse_member_pulse(const json& document)
+member_heartbeat parse_member_heartbeat(const json& document)
 {
     try {
-        member_pulse pulse;
-        pulse.name.value = document.at("n").get<std::string>();
-        pulse.incarnation = document.at("i").get<std::string>();
-        pulse.ready = document.at("r").get<bool>();
-        pulse.leaving = document.at("l").get<bool>();
-        pulse.following = document.at("f").get<bool>();
+        member_heartbeat heartbeat;
+        heartbeat.name.value = document.at("n").get<std::string>();
+        heartbeat.incarnation = document.at("i").get<std::string>();
+        heartbeat.ready = document.at("r").get<bool>();
+        heartbeat.leaving = document.at("l").get<bool>();
+        heartbeat.following = document.at("f").get<bool>();
         const auto store = document.at("s").get<int>();
         if (store < 0 || store > static_cast<int>(store_access::lost))
-            throw error(step, pulse.name.value, "unknown access to the store");
-        pulse.store = static_cast<store_access>(store);
-        pulse.revisions.operators = document.at("o").get<std::uint64_t>();
-        pulse.revisions.targets = document.at("t").get<std::uint64_t>();
-        return pulse;
+            throw error(step, heartbeat.name.value,
+                        "unknown access to the store");
+        heartbeat.store = static_cast<store_access>(store);
+        heartbeat.revisions.operators = document.at("o").get<std::uint64_t>();
+        heartbeat.revisions.targets = document.at("t").get<std::uint64_t>();
+        return heartbeat;
     } catch (const json::exception& failure) {
         throw error(step, "", failure.what());
     }
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -25,15 +25,16 @@
     changed_ = true;
 }
 
-bool member_table::on_pulse(const member_pulse& pulse, time_point now)
+bool member_table::on_heartbeat(const member_heartbeat& heartbeat,
+                                time_point now)
 {
-    if (pulse.name == self_.name)
+    if (heartbeat.name == self_.name)
         return true;
-    const auto found = peers_.find(pulse.name);
+    const auto found = peers_.find(heartbeat.name);
     if (found == peers_.end() ||
-        found->second.who.incarnation != pulse.incarnation)
+        found->second.who.incarnation != heartbeat.incarnation)
         return false;
-    found->second.pulse = pulse;
+    found->second.heartbeat = heartbeat;
     found->second.heard = now;
     return true;
 }
@@ -43,7 +44,7 @@
     bool changed = std::exchange(changed_, false);
     for (auto& [name, peer] : peers_) {
         const bool live = is_live(peer, now);
-        const bool ready = live && peer.pulse.ready;
+        const bool ready = live && peer.heartbeat.ready;
         changed = changed || live != peer.was_live || ready != peer.was_ready;
         peer.was_live = live;
         peer.was_ready = ready;
@@ -68,7 +69,7 @@
     std::vector<known_member> result;
     for (const auto& [name, peer] : peers_)
         if (is_live(peer, now))
-            result.push_back({peer.who, peer.pulse, now - *peer.heard});
+            result.push_back({peer.who, peer.heartbeat, now - *peer.heard});
     return result;
 }
 
@@ -76,7 +77,7 @@
 {
     std::vector<member> result;
     for (const auto& [name, peer] : peers_)
-        if (is_live(peer, now) && peer.pulse.ready)
+        if (is_live(peer, now) && peer.heartbeat.ready)
             result.push_back(peer.who);
     return result;
 }
@@ -91,7 +92,7 @@
 
 bool member_table::is_live(const entry& each, time_point now) const
 {
-    if (!each.heard || each.pulse.leaving)
+    if (!each.heard || each.heartbeat.leaving)
         return false;
     const auto limit = std::chrono::duration_cast<duration>(
         heartbeat_interval() * settings_.silence_heartbeats);
--- a/src/members/reader_choice.cpp
+++ b/src/members/reader_choice.cpp
@@ -47,7 +47,8 @@
     if (settled && is_reader(self, store, live))
         return true;
     const bool served = std::ranges::any_of(live, [&](const auto& each) {
-        return each.pulse.following && each.pulse.store != store_access::lost &&
+        return each.heartbeat.following &&
+               each.heartbeat.store != store_access::lost &&
                each.silent_for <= settings_.silence_limit;
     });
     // Without any working reader those that have not tried yet do, and the
@@ -61,7 +62,7 @@
 {
     const auto own = rank_of(self, store);
     const auto before = std::ranges::count_if(live, [&](const auto& each) {
-        return rank_of(each.who.name, each.pulse.store) < own;
+        return rank_of(each.who.name, each.heartbeat.store) < own;
     });
     return static_cast<std::size_t>(before) < settings_.readers;
 }
@@ -71,7 +72,7 @@
                               time_point now)
 {
     const bool behind = std::ranges::any_of(live, [&](const auto& each) {
-        return revisions.is_behind(each.pulse.revisions);
+        return revisions.is_behind(each.heartbeat.revisions);
     });
     // Who still learns something is only a step behind the newest change.
     const bool learnt = revisions != seen_;
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -16,9 +16,9 @@
             name + ":1", "127.0.0.1:2", "127.0.0.1:3"};
 }
 
-member_pulse make_pulse(const std::string& name)
+member_heartbeat make_heartbeat(const std::string& name)
 {
-    member_pulse made;
+    member_heartbeat made;
     made.name = {name};
     made.incarnation = "1";
     made.ready = true;
@@ -32,7 +32,7 @@
     for (int i = 0; i < count; ++i) {
         const auto name = "m" + std::to_string(i);
         table.on_known(make_member(name, "d1"), start);
-        table.on_pulse(make_pulse(name), start);
+        table.on_heartbeat(make_heartbeat(name), start);
     }
     return table;
 }
@@ -40,11 +40,11 @@
 TEST(Members, AKnownMemberIsNotToldBeforeItIsHeard)
 {
     member_table table(make_member("self", "d1"));
-    EXPECT_FALSE(table.on_pulse(make_pulse("a"), start));
+    EXPECT_FALSE(table.on_heartbeat(make_heartbeat("a"), start));
     table.on_known(make_member("a", "d1"), start);
     EXPECT_TRUE(table.ready_peers(start).empty());
     EXPECT_EQ(table.peers().size(), 1u);
-    EXPECT_TRUE(table.on_pulse(make_pulse("a"), start));
+    EXPECT_TRUE(table.on_heartbeat(make_heartbeat("a"), start));
     EXPECT_EQ(table.ready_peers(start).size(), 1u);
 }
 
@@ -56,7 +56,7 @@
     EXPECT_EQ(table.ready_peers(start + 1600ms).size(), 1u);
     EXPECT_TRUE(table.advance(start + 1800ms));
     EXPECT_TRUE(table.ready_peers(start + 1800ms).empty());
-    EXPECT_TRUE(table.on_pulse(make_pulse("m0"), start + 5s));
+    EXPECT_TRUE(table.on_heartbeat(make_heartbeat("m0"), start + 5s));
     EXPECT_TRUE(table.advance(start + 5s));
     EXPECT_EQ(table.ready_peers(start + 5s).size(), 1u);
 }
@@ -64,18 +64,18 @@
 TEST(Members, ALeavingMemberIsNotToldAnyMore)
 {
     auto table = heard(1);
-    auto leaving = make_pulse("m0");
+    auto leaving = make_heartbeat("m0");
     leaving.leaving = true;
-    table.on_pulse(leaving, start + 100ms);
+    table.on_heartbeat(leaving, start + 100ms);
     EXPECT_TRUE(table.ready_peers(start + 100ms).empty());
 }
 
 TEST(Members, ANewProcessUnderAnOldNameIsAskedWhoItIs)
 {
     auto table = heard(1);
-    auto restarted = make_pulse("m0");
+    auto restarted = make_heartbeat("m0");
     restarted.incarnation = "2";
-    EXPECT_FALSE(table.on_pulse(restarted, start + 1s));
+    EXPECT_FALSE(table.on_heartbeat(restarted, start + 1s));
 }
 
 TEST(Members, HeartbeatsSlowDownWithTheirNumberAndSoDoesTheirJudge)
@@ -85,32 +85,32 @@
     EXPECT_EQ(table.ready_peers(start + 3s).size(), 99u);
 }
 
-TEST(Members, APulseSurvivesItsEncoding)
+TEST(Members, AHeartbeatSurvivesItsEncoding)
 {
-    auto pulse = make_pulse("a");
-    pulse.following = true;
-    pulse.store = store_access::lost;
-    pulse.revisions = {7, 42};
-    const auto read = parse_member_pulse(to_json(pulse));
-    EXPECT_EQ(read.name, pulse.name);
-    EXPECT_EQ(read.revisions, pulse.revisions);
+    auto heartbeat = make_heartbeat("a");
+    heartbeat.following = true;
+    heartbeat.store = store_access::lost;
+    heartbeat.revisions = {7, 42};
+    const auto read = parse_member_heartbeat(to_json(heartbeat));
+    EXPECT_EQ(read.name, heartbeat.name);
+    EXPECT_EQ(read.revisions, heartbeat.revisions);
     EXPECT_EQ(read.store, store_access::lost);
     EXPECT_TRUE(read.ready && read.following && !read.leaving);
 }
 
-TEST(Members, APulseWithAFieldOfAnotherTypeIsRefused)
+TEST(Members, AHeartbeatWithAFieldOfAnotherTypeIsRefused)
 {
-    const auto whole = to_json(make_pulse("a"));
+    const auto whole = to_json(make_heartbeat("a"));
     for (const auto& [name, value] : whole.items()) {
         auto broken = whole;
         broken[name] = nlohmann::json::array();
-        EXPECT_THROW(parse_member_pulse(broken), error) << name;
+        EXPECT_THROW(parse_member_heartbeat(broken), error) << name;
         broken.erase(name);
-        EXPECT_THROW(parse_member_pulse(broken), error) << name;
+        EXPECT_THROW(parse_member_heartbeat(broken), error) << name;
     }
     auto unknown = whole;
     unknown["s"] = 9;
-    EXPECT_THROW(parse_member_pulse(unknown), error);
+    EXPECT_THROW(parse_member_heartbeat(unknown), error);
 }
 
 /// What one of several instances decides about following the store.
@@ -134,11 +134,11 @@
 known_member live_peer(const std::string& name, bool following,
                        store_access store = store_access::works)
 {
-    auto pulse = make_pulse(name);
-    pulse.following = following;
-    pulse.store = store;
-    pulse.revisions = {1, 1};
-    return {make_member(name, "d1"), pulse, 0ms};
+    auto heartbeat = make_heartbeat(name);
+    heartbeat.following = following;
+    heartbeat.store = store;
+    heartbeat.revisions = {1, 1};
+    return {make_member(name, "d1"), heartbeat, 0ms};
 }
 
 TEST(ReaderChoice, AFewFollowTheStoreForAll)
@@ -189,7 +189,7 @@
     std::vector<known_member> live;
     auto idle = idle_chooser(live);
     for (int i = 0; i < 20; ++i) {
-        live.back().pulse.revisions.targets += 1;
+        live.back().heartbeat.revisions.targets += 1;
         EXPECT_FALSE(idle.follows(live, start + i * 100ms));
         idle.revisions.targets += 1;
     }
@@ -209,8 +209,8 @@
     std::vector<known_member> live;
     auto idle = idle_chooser(live);
     for (auto& each : live)
-        if (each.pulse.following)
-            each.pulse.store = store_access::lost;
+        if (each.heartbeat.following)
+            each.heartbeat.store = store_access::lost;
     EXPECT_TRUE(idle.follows(live));
 }
 
@@ -220,7 +220,7 @@
     std::vector<known_member> live;
     auto idle = idle_chooser(live);
     for (auto& each : live)
-        each.pulse.store = store_access::lost;
+        each.heartbeat.store = store_access::lost;
     idle.store = store_access::lost;
     int following = idle.follows(live);
     for (int i = 0; i < 20; ++i)
@@ -232,11 +232,11 @@
 {
     std::vector<known_member> live;
     auto idle = idle_chooser(live);
-    live.back().pulse.revisions.targets = 2;
+    live.back().heartbeat.revisions.targets = 2;
     EXPECT_FALSE(idle.follows(live, start));
     EXPECT_FALSE(idle.follows(live, start + 600ms));
     EXPECT_TRUE(idle.follows(live, start + 800ms));
-    live.back().pulse.revisions.targets = 1;
+    live.back().heartbeat.revisions.targets = 1;
     EXPECT_TRUE(idle.follows(live, start + 1s));
     EXPECT_FALSE(idle.follows(live, start + 4s));
 }
