Join twins in the router, and drop what nobody calls

Cause: read as a whole, the change encoded and sent datagrams in three places, read load reports in two, defined a status twice, and counted connections for no caller.

Change: encode() and send_to_peers() in peer_controller; the prober reads reports through read_report(); request_engine takes the shared status; target_connections::made() goes. Behaviour stays.

--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -27,6 +27,12 @@
 constexpr duration member_list_interval = 10s;
 constexpr int status_ok = 200;
 
+std::string encode(const json& message)
+{
+    const auto bytes = json::to_cbor(message);
+    return {bytes.begin(), bytes.end()};
+}
+
 std::string_view name_of(shared_table which)
 {
     return which == shared_table::operators ? "operators" : "targets";
@@ -144,28 +150,22 @@
         state_.read_members();
 }
 
-void peer_controller::send(const io::address& to, const json& message)
+void peer_controller::send_to_peers(std::string_view bytes)
 {
-    const auto encoded = json::to_cbor(message);
-    socket_.send(
-        to, {reinterpret_cast<const char*>(encoded.data()), encoded.size()});
+    for (const auto& peer : known_.members.peers())
+        socket_.send(io::parse_address(peer.peer_address), bytes);
 }
 
 void peer_controller::send_heartbeat()
 {
-    const json message = {{"heartbeat", to_json(make_heartbeat())}};
-    const auto encoded = json::to_cbor(message);
-    const std::string_view bytes(reinterpret_cast<const char*>(encoded.data()),
-                                 encoded.size());
-    for (const auto& peer : known_.members.peers())
-        socket_.send(io::parse_address(peer.peer_address), bytes);
+    send_to_peers(encode({{"heartbeat", to_json(make_heartbeat())}}));
 }
 
 void peer_controller::send_hello(const io::address& to, bool ask)
 {
-    send(to, {{"hello", to_json(known_.members.self())},
-              {"heartbeat", to_json(make_heartbeat())},
-              {"ask", ask}});
+    socket_.send(to, encode({{"hello", to_json(known_.members.self())},
+                             {"heartbeat", to_json(make_heartbeat())},
+                             {"ask", ask}}));
 }
 
 // Ports are the same on all instances.
@@ -183,17 +183,12 @@
 void peer_controller::pass_on(shared_table which,
                               const state_difference& difference)
 {
-    const json message = {{"table", name_of(which)},
-                          {"change", to_json(difference)}};
-    const auto encoded = json::to_cbor(message);
-    if (encoded.size() > max_relay_bytes) {
+    const auto bytes =
+        encode({{"table", name_of(which)}, {"change", to_json(difference)}});
+    if (bytes.size() > max_relay_bytes)
         send_heartbeat();
-        return;
-    }
-    const std::string_view bytes(reinterpret_cast<const char*>(encoded.data()),
-                                 encoded.size());
-    for (const auto& peer : known_.members.peers())
-        socket_.send(io::parse_address(peer.peer_address), bytes);
+    else
+        send_to_peers(bytes);
 }
 
 void peer_controller::take_datagram(const io::address& from,
--- a/apps/router/peer_controller.hpp
+++ b/apps/router/peer_controller.hpp
@@ -42,7 +42,7 @@
     void send_heartbeat();
     void send_hello(const io::address& to, bool ask);
     void greet_seeds();
-    void send(const io::address& to, const nlohmann::json& message);
+    void send_to_peers(std::string_view bytes);
     void take_datagram(const io::address& from, std::string_view bytes);
     void take_message(const io::address& from, const nlohmann::json& message);
     void take_hello(const io::address& from, const nlohmann::json& message);
--- a/apps/router/prober.cpp
+++ b/apps/router/prober.cpp
@@ -1,5 +1,7 @@
 #include "prober.hpp"
 
+#include "target_message.hpp"
+
 #include <charconv>
 #include <vector>
 
@@ -64,8 +66,7 @@
     io::target_call_handlers handlers;
     const auto id = target.id;
     handlers.on_head = [&made](io::target_answer_head&& head) {
-        made.status = head.status;
-        made.headers = std::move(head.headers);
+        made.head = std::move(head);
     };
     handlers.on_data = [](std::string_view) {};
     handlers.on_done = [this, id] { take_answer(id); };
@@ -87,7 +88,7 @@
     const auto found = probes_.find(target);
     auto* about = known_.placer.find(target);
     if (about && !read_answer(target, found->second, *about)) {
-        fail(target, "status " + std::to_string(found->second.status));
+        fail(target, "status " + std::to_string(found->second.head.status));
         return;
     }
     metrics_.count_probe(true);
@@ -99,15 +100,15 @@
 {
     const auto& names = language_.headers;
     const auto now = loop_.now();
-    const auto instance = io::find_header(ended.headers, names.instance_id);
+    const auto instance =
+        io::find_header(ended.head.headers, names.instance_id);
     const bool is_other = instance && *instance != target.value;
-    if (ended.status != status_ok || is_other)
+    if (ended.head.status != status_ok || is_other)
         return false;
-    const auto cold = io::find_header(ended.headers, names.cold_left_ms);
+    const auto cold = io::find_header(ended.head.headers, names.cold_left_ms);
     if (cold)
         about.on_cold(read_ms(*cold), now);
-    const auto load = io::find_header(ended.headers, names.load);
-    const auto report = load ? language_.read_load(*load) : std::nullopt;
+    const auto report = read_report(ended.head, language_);
     about.on_report(report.value_or(load_report{}), true, now);
     return true;
 }
--- a/apps/router/prober.hpp
+++ b/apps/router/prober.hpp
@@ -38,8 +38,7 @@
         std::unique_ptr<io::target_call> call;
         std::unique_ptr<io::timer> limit;
         std::set<std::uint64_t> waiters;
-        int status = 0;
-        io::header_list headers;
+        io::target_answer_head head;
     };
 
     void start(const listed_target& target, probe& made);
--- a/apps/router/request_engine.cpp
+++ b/apps/router/request_engine.cpp
@@ -1,12 +1,13 @@
 #include "request_engine.hpp"
 
+#include "request_limits.hpp"
+
 namespace vanillapost::router {
 
 namespace {
 
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
 /// A router without a configuration has one within about a second.
 constexpr std::string_view retry_after_unconfigured = "0.5";
 
--- a/apps/router/target_connections.cpp
+++ b/apps/router/target_connections.cpp
@@ -71,12 +71,4 @@
     }
 }
 
-std::uint64_t target_connections::made() const
-{
-    std::uint64_t sum = 0;
-    for (const auto& [id, each] : pools_)
-        sum += each.pool->connections_made();
-    return sum;
-}
-
 } // namespace vanillapost::router
--- a/apps/router/target_connections.hpp
+++ b/apps/router/target_connections.hpp
@@ -20,9 +20,6 @@
     /// \throws error  when the target's address cannot be used
     io::target_pool& pool_of(const listed_target& target);
 
-    /// Connections opened since the start.
-    std::uint64_t made() const;
-
 private:
     struct entry
     {
