Log from where a router learns and which step a failure came from

A router that ended by itself on the users' machines left one line without time, step or peer, and no line told from whom an instance had learnt an old configuration: the hypotheses could not be told apart.

Change: failures that reach the event loop are told with their step and peer (callback_failed) and still end the process (ended_by_failure); rows_taken says from whom a change came and between which revisions; counters of failed callbacks, unreadable rows and questions for state. No change of what a router does.

Whether a row that cannot be passed on also blocks others is open while processes end.

--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -85,11 +85,9 @@
     return parts;
 }
 
-void run(const router::router_settings& settings, const std::string& file)
+void serve(io::event_loop& loop, const router::router_settings& settings,
+           const std::string& file)
 {
-    io::start_log("vanillapost-router", settings.name, settings.log_level,
-                  io::log_output::standard_output);
-    io::event_loop loop;
     const auto seed = make_seed();
     auto parts = make_platform(loop, settings, seed);
     router::router_server server(loop, settings, parts, seed);
@@ -101,6 +99,20 @@
     loop.run();
 }
 
+void run(const router::router_settings& settings, const std::string& file)
+{
+    io::start_log("vanillapost-router", settings.name, settings.log_level,
+                  io::log_output::standard_output);
+    io::event_loop loop;
+    try {
+        serve(loop, settings, file);
+    } catch (const std::exception& failure) {
+        io::log(io::log_level::error, "ended_by_failure",
+                {{"reason", failure.what()}});
+        throw;
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -43,8 +43,10 @@
 peer_controller::peer_controller(io::event_loop& loop, const io::address& where,
                                  std::vector<std::string> seeds,
                                  knowledge& known, state_controller& state,
-                                 router_log& log, random_engine random)
-    : loop_(loop), known_(known), state_(state), log_(log), random_(random),
+                                 router_metrics& metrics, router_log& log,
+                                 random_engine random)
+    : loop_(loop), known_(known), state_(state), metrics_(metrics), log_(log),
+      random_(random),
       socket_(loop, where,
               [this](const io::address& from, std::string_view bytes) {
                   take_datagram(from, bytes);
@@ -227,7 +229,7 @@
                                name_of(shared_table::operators)
                            ? shared_table::operators
                            : shared_table::targets;
-    state_.merge(which, parse_state_difference(message.at("change")));
+    state_.merge(which, parse_state_difference(message.at("change")), from.ip);
 }
 
 void peer_controller::take_hello(const io::address& from, const json& message)
@@ -287,14 +289,17 @@
             if (answer_status_ != status_ok)
                 throw error("ask for state", name,
                             "status " + std::to_string(answer_status_));
-            state_.merge(json::parse(answer_));
+            state_.merge(json::parse(answer_), name);
+            metrics_.count_state_question("taken");
         } catch (const std::exception& failure) {
+            metrics_.count_state_question("unreadable");
             log_.state(io::log_level::warning, "peer_state_unreadable",
                        {{"peer", name}, {"reason", failure.what()}});
         }
         loop_.post([this] { question_.reset(); });
     };
     handlers.on_failure = [this, name](const io::call_failure& failure) {
+        metrics_.count_state_question("unanswered");
         log_.state(io::log_level::warning, "peer_did_not_tell_state",
                    {{"peer", name}, {"reason", failure.what}});
         loop_.post([this] {
--- a/apps/router/peer_controller.hpp
+++ b/apps/router/peer_controller.hpp
@@ -22,8 +22,8 @@
     /// \param seeds  query addresses of some peers, which may be stale
     peer_controller(io::event_loop& loop, const io::address& where,
                     std::vector<std::string> seeds, knowledge& known,
-                    state_controller& state, router_log& log,
-                    random_engine random);
+                    state_controller& state, router_metrics& metrics,
+                    router_log& log, random_engine random);
 
     void start();
 
@@ -58,6 +58,7 @@
     io::event_loop& loop_;
     knowledge& known_;
     state_controller& state_;
+    router_metrics& metrics_;
     router_log& log_;
     random_engine random_;
     io::datagram_socket socket_;
--- a/apps/router/router_metrics.cpp
+++ b/apps/router/router_metrics.cpp
@@ -58,6 +58,19 @@
                     .Help("Requests for which no route is known")
                     .Register(registry_)
                     .Add({})),
+      callback_failures_(prometheus::BuildCounter()
+                             .Name("vanillapost_callback_failures_total")
+                             .Help("Failures that reached the event loop")
+                             .Register(registry_)
+                             .Add({})),
+      unreadable_rows_(prometheus::BuildCounter()
+                           .Name("vanillapost_unreadable_rows_total")
+                           .Help("Rows of the store that were left out")
+                           .Register(registry_)),
+      state_questions_(prometheus::BuildCounter()
+                           .Name("vanillapost_state_questions_total")
+                           .Help("Questions for a peer's state, by their end")
+                           .Register(registry_)),
       in_flight_(make_gauge(registry_, "vanillapost_requests_in_flight",
                             "Requests without their whole answer")),
       version_(make_gauge(registry_, "vanillapost_configuration_version",
@@ -113,6 +126,21 @@
     unrouted_.Increment();
 }
 
+void router_metrics::count_callback_failure()
+{
+    callback_failures_.Increment();
+}
+
+void router_metrics::count_unreadable_row(std::string_view table)
+{
+    unreadable_rows_.Add({{"table", std::string(table)}}).Increment();
+}
+
+void router_metrics::count_state_question(std::string_view result)
+{
+    state_questions_.Add({{"result", std::string(result)}}).Increment();
+}
+
 void router_metrics::set_in_flight(std::size_t requests)
 {
     in_flight_.Set(static_cast<double>(requests));
--- a/apps/router/router_metrics.hpp
+++ b/apps/router/router_metrics.hpp
@@ -35,6 +35,13 @@
     void count_attempt(const service_id& service, std::string_view kind);
     void count_probe(bool answered);
     void count_unrouted();
+    /// A callback of the event loop that has thrown.
+    void count_callback_failure();
+    /// A row that was left out because it cannot be read.
+    void count_unreadable_row(std::string_view table);
+    /// A question for a peer's state.
+    /// \param result  "taken", "unreadable" or "unanswered"
+    void count_state_question(std::string_view result);
 
     void set_in_flight(std::size_t requests);
     void set_configuration_version(std::uint64_t version);
@@ -63,6 +70,9 @@
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& probes_;
     prometheus::Counter& unrouted_;
+    prometheus::Counter& callback_failures_;
+    prometheus::Family<prometheus::Counter>& unreadable_rows_;
+    prometheus::Family<prometheus::Counter>& state_questions_;
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& version_;
     prometheus::Gauge& store_;
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -44,13 +44,13 @@
       log_(loop, settings.log_lines_per_second), random_(seed),
       known_(describe_self(settings, seed), language_.queue_per_slot,
              random_engine(random_())),
-      state_(loop, *platform.store, language_, known_, log_,
+      state_(loop, *platform.store, language_, known_, metrics_, log_,
              random_engine(random_()),
              [this](shared_table which, const state_difference& difference) {
                  peers_.pass_on(which, difference);
              }),
-      peers_(loop, settings.peer_address, settings.seeds, known_, state_, log_,
-             random_engine(random_())),
+      peers_(loop, settings.peer_address, settings.seeds, known_, state_,
+             metrics_, log_, random_engine(random_())),
       engine_(loop, known_, language_, settings, metrics_, log_,
               random_engine(random_())),
       directory_(loop, known_, state_, language_, metrics_.registry(),
@@ -61,6 +61,8 @@
                }),
       check_timer_(loop, [this] { check(); })
 {
+    loop.on_failure(
+        [this](const io::callback_failure& failure) { note_failure(failure); });
     if (!platform.table)
         return;
     claims_ = std::make_unique<booking_claims>(loop, *platform.table, known_,
@@ -68,6 +70,15 @@
     engine_.set_claims(*claims_);
 }
 
+void router_server::note_failure(const io::callback_failure& failure)
+{
+    metrics_.count_callback_failure();
+    log_.state(io::log_level::error, "callback_failed",
+               {{"step", std::string(failure.step)},
+                {"peer", std::string(failure.peer)},
+                {"reason", std::string(failure.what)}});
+}
+
 void router_server::take(std::unique_ptr<io::caller_exchange> exchange)
 {
     auto message = exchange->take_request();
--- a/apps/router/router_server.hpp
+++ b/apps/router/router_server.hpp
@@ -35,6 +35,7 @@
 
 private:
     void take(std::unique_ptr<io::caller_exchange> exchange);
+    void note_failure(const io::callback_failure& failure);
     void check();
     void check_leaving(time_point now);
     void update_metrics(time_point now);
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -13,16 +13,17 @@
 constexpr duration access_memory = 5s;
 /// Row of the member table with all members.
 constexpr std::string_view member_list_key = "list";
+constexpr std::string_view from_store;
 
 } // namespace
 
 state_controller::state_controller(io::event_loop& loop, io::row_store& store,
                                    const platform_language& language,
-                                   knowledge& known, router_log& log,
-                                   random_engine random,
+                                   knowledge& known, router_metrics& metrics,
+                                   router_log& log, random_engine random,
                                    change_handler on_change)
-    : loop_(loop), store_(store), language_(language), known_(known), log_(log),
-      on_change_(std::move(on_change)),
+    : loop_(loop), store_(store), language_(language), known_(known),
+      metrics_(metrics), log_(log), on_change_(std::move(on_change)),
       removal_timer_(loop, [this] { finish_target_rows(); }),
       alive_(std::make_shared<bool>(true))
 {
@@ -44,7 +45,7 @@
     handlers.on_read = [this, which](const std::vector<io::store_row>& rows,
                                      std::uint64_t revision) {
         note_access(true);
-        apply(which, {0, revision, true, false, rows}, true);
+        apply(which, {0, revision, true, false, rows}, from_store);
     };
     handlers.on_changed = [this,
                            which](const std::vector<io::store_row>& rows) {
@@ -54,7 +55,7 @@
             newest = std::max(newest, row.revision);
         apply(which,
               {table_of(which).state.revision(), newest, false, false, rows},
-              true);
+              from_store);
     };
     handlers.on_lost = [this, which](const io::store_failure& failure) {
         note_access(false);
@@ -136,13 +137,13 @@
             {"members", std::move(members)}};
 }
 
-void state_controller::merge(const json& difference)
+void state_controller::merge(const json& difference, std::string_view peer)
 {
     try {
         merge(shared_table::operators,
-              parse_state_difference(difference.at("operators")));
+              parse_state_difference(difference.at("operators")), peer);
         merge(shared_table::targets,
-              parse_state_difference(difference.at("targets")));
+              parse_state_difference(difference.at("targets")), peer);
         for (const auto& each : difference.at("members"))
             add_member(each);
     } catch (const json::exception& failure) {
@@ -160,39 +161,55 @@
 }
 
 void state_controller::merge(shared_table which,
-                             const state_difference& difference)
+                             const state_difference& difference,
+                             std::string_view peer)
 {
     // What is missing in between is asked for with the next heartbeat.
     if (table_of(which).state.follows(difference))
-        apply(which, difference, false);
+        apply(which, difference, peer);
 }
 
 void state_controller::apply(shared_table which,
                              const state_difference& difference,
-                             bool from_store)
+                             std::string_view peer)
 {
     auto& table = table_of(which);
+    const bool is_own = peer == from_store;
     const auto now = loop_.now();
     const auto before = table.state.revision();
     // Who finds the store lost knows of the outage without being told.
     const bool after_outage =
         difference.after_outage || access() == store_access::lost;
-    if (!from_store && after_outage && !known_.targets.is_relisting(now))
+    if (!is_own && after_outage && !known_.targets.is_relisting(now))
         known_.targets.on_list_back(now);
     const auto changed = table.state.apply(difference, now);
-    if (!changed.empty())
-        (this->*table.take)(changed);
-    if (from_store && !changed.empty())
+    if (changed.empty())
+        return;
+    note_taken(table, before, changed.size(), peer);
+    (this->*table.take)(changed);
+    if (is_own)
         on_change_(which, {before, table.state.revision(), difference.whole,
                            known_.targets.is_relisting(now), changed});
 }
 
+void state_controller::note_taken(const table& taken, std::uint64_t before,
+                                  std::size_t rows, std::string_view peer)
+{
+    log_.request(io::log_level::info, "rows_taken",
+                 {{"table", taken.name},
+                  {"from", peer == from_store ? "store" : std::string(peer)},
+                  {"after", std::to_string(before)},
+                  {"revision", std::to_string(taken.state.revision())},
+                  {"rows", std::to_string(rows)}});
+}
+
 void state_controller::take_operator_rows(
     const std::vector<io::store_row>& changed)
 {
     auto change = language_.rows.read_operator_rows(changed);
     for (const auto& each : change.unreadable)
-        report("configuration_unreadable", each.key, each.reason);
+        report_unreadable(operators_, "configuration_unreadable", each.key,
+                          each.reason);
     if (change.config)
         adopt(std::move(*change.config));
     if (change.targets)
@@ -244,7 +261,8 @@
                        {{"target", row.key},
                         {"revision", std::to_string(row.revision)}});
     } catch (const error& failure) {
-        report("target_unreadable", row.key, failure.what());
+        report_unreadable(targets_, "target_unreadable", row.key,
+                          failure.what());
         known_.targets.remove(id, now);
     }
 }
@@ -312,6 +330,15 @@
                });
 }
 
+void state_controller::report_unreadable(const table& from,
+                                         std::string_view event,
+                                         const std::string& key,
+                                         std::string_view reason)
+{
+    metrics_.count_unreadable_row(from.name);
+    report(event, key, reason);
+}
+
 void state_controller::report(std::string_view event, const std::string& key,
                               std::string_view reason)
 {
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state_controller.hpp
@@ -4,6 +4,7 @@
 #include "knowledge.hpp"
 #include "platform_language.hpp"
 #include "router_log.hpp"
+#include "router_metrics.hpp"
 #include "state_table.hpp"
 #include "vanillapost/src/io/table_follower.hpp"
 
@@ -29,8 +30,8 @@
 
     state_controller(io::event_loop& loop, io::row_store& store,
                      const platform_language& language, knowledge& known,
-                     router_log& log, random_engine random,
-                     change_handler on_change);
+                     router_metrics& metrics, router_log& log,
+                     random_engine random, change_handler on_change);
 
     void follow_store();
     void stop_following();
@@ -50,11 +51,13 @@
     nlohmann::json difference(const state_revisions& known) const;
 
     /// Takes over what a peer knows.
+    /// \param peer  whom it comes from, for the log
     /// \throws error  when it cannot be read
-    void merge(const nlohmann::json& difference);
+    void merge(const nlohmann::json& difference, std::string_view peer);
 
     /// Takes over changes of one table, unless some before them are missing.
-    void merge(shared_table which, const state_difference& difference);
+    void merge(shared_table which, const state_difference& difference,
+               std::string_view peer);
 
     /// Takes a member that a peer or the store names.
     /// \throws error  when it cannot be read, or cannot be reached as it says
@@ -91,8 +94,11 @@
 
     void set_up(shared_table which, const std::string& name,
                 io::row_store& store, random_engine random);
+    /// \param peer  whom it comes from; empty: the store
     void apply(shared_table which, const state_difference& difference,
-               bool from_store);
+               std::string_view peer);
+    void note_taken(const table& taken, std::uint64_t before, std::size_t rows,
+                    std::string_view peer);
     void take_operator_rows(const std::vector<io::store_row>& changed);
     void adopt(configuration config);
     void take_targets(std::vector<listed_target> targets);
@@ -104,11 +110,14 @@
     void note_access(bool works);
     void report(std::string_view event, const std::string& key,
                 std::string_view reason);
+    void report_unreadable(const table& from, std::string_view event,
+                           const std::string& key, std::string_view reason);
 
     io::event_loop& loop_;
     io::row_store& store_;
     const platform_language& language_;
     knowledge& known_;
+    router_metrics& metrics_;
     router_log& log_;
     change_handler on_change_;
     table operators_;
--- a/include/vanillapost/src/io/detail/client_connection.hpp
+++ b/include/vanillapost/src/io/detail/client_connection.hpp
@@ -63,6 +63,7 @@
     void note_connect(short what);
     void deliver_headers(evhttp_request* request);
     void deliver_data(evhttp_request* request);
+    void take_answer(evhttp_request* request);
     void handle_timer();
     void finish(std::optional<call_failure> failure);
     call_failure describe_failure() const;
--- a/include/vanillapost/src/io/event_loop.hpp
+++ b/include/vanillapost/src/io/event_loop.hpp
@@ -4,8 +4,10 @@
 #include "../base/time.hpp"
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 struct event_base;
 
@@ -17,6 +19,14 @@
     virtual ~disposable() = default;
 };
 
+/// A callback of the loop that has thrown.
+struct callback_failure
+{
+    std::string_view step; ///< what it was to do
+    std::string_view peer; ///< the other side; may be empty
+    std::string_view what;
+};
+
 /// The one loop on which everything in a process runs.
 class event_loop
 {
@@ -46,9 +56,29 @@
     /// objects that a callback on the stack may still use.
     void dispose(std::unique_ptr<disposable> item);
 
+    /// Calls `handler` with each failure that comes out of a callback.
+    void on_failure(std::function<void(const callback_failure&)> handler);
+
+    /// Runs a callback of the loop and tells of its failure.
+    /// \param step  what it is to do, such as "answer request"
+    /// \throws whatever `callback` throws
+    template <class Callback>
+    void guard(std::string_view step, std::string_view peer,
+               const Callback& callback)
+    {
+        try {
+            callback();
+        } catch (const std::exception& failure) {
+            tell({step, peer, failure.what()});
+            throw;
+        }
+    }
+
     event_base* base() const;
 
 private:
+    void tell(const callback_failure& failure) const;
+
     struct state;
     std::unique_ptr<state> state_;
 };
--- a/src/io/client_connection.cpp
+++ b/src/io/client_connection.cpp
@@ -238,13 +238,21 @@
 void client_connection::handle_answer(evhttp_request* request, void* self)
 {
     auto& connection = connection_of(self);
-    if (!connection.busy_)
+    connection.loop_.guard("take answer", to_string(connection.peer_),
+                           [&] { connection.take_answer(request); });
+}
+
+void client_connection::take_answer(evhttp_request* request)
+{
+    if (!busy_)
         return;
-    if (!request || evhttp_request_get_response_code(request) == 0)
-        return connection.finish(connection.describe_failure());
-    connection.deliver_data(request);
-    if (connection.busy_)
-        connection.finish(std::nullopt);
+    if (!request || evhttp_request_get_response_code(request) == 0) {
+        finish(describe_failure());
+        return;
+    }
+    deliver_data(request);
+    if (busy_)
+        finish(std::nullopt);
 }
 
 call_failure client_connection::describe_failure() const
--- a/src/io/datagram_socket.cpp
+++ b/src/io/datagram_socket.cpp
@@ -21,11 +21,12 @@
 
 struct datagram_socket::state
 {
-    handler handle;
+    event_loop& loop;
+    handler handle = {};
     int socket = -1;
     std::unique_ptr<event, decltype(&event_free)> readable{nullptr,
                                                            &event_free};
-    std::array<char, max_datagram_bytes> buffer;
+    std::array<char, max_datagram_bytes> buffer = {};
 
     ~state()
     {
@@ -53,15 +54,17 @@
             return false;
         char text[INET_ADDRSTRLEN] = "";
         inet_ntop(AF_INET, &from.sin_addr, text, sizeof text);
-        handle({text, ntohs(from.sin_port)},
-               {buffer.data(), static_cast<std::size_t>(got)});
+        loop.guard("take datagram", text, [&] {
+            handle({text, ntohs(from.sin_port)},
+                   {buffer.data(), static_cast<std::size_t>(got)});
+        });
         return true;
     }
 };
 
 datagram_socket::datagram_socket(event_loop& loop, const address& where,
                                  handler handle)
-    : state_(std::make_unique<state>())
+    : state_(std::unique_ptr<state>(new state{loop}))
 {
     state_->handle = std::move(handle);
     state_->socket =
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -41,23 +41,27 @@
 
 struct signal_watch
 {
+    event_loop* loop;
     std::function<void()> handler;
     event_ptr ev{nullptr, &event_free};
 };
 
 void on_signal_event(evutil_socket_t, short, void* watch)
 {
-    static_cast<signal_watch*>(watch)->handler();
+    auto& signal = *static_cast<signal_watch*>(watch);
+    signal.loop->guard("handle signal", "", signal.handler);
 }
 
 } // namespace
 
 struct event_loop::state
 {
+    event_loop* loop;
     // The base goes last: members are destroyed in reverse order.
     std::unique_ptr<event_base, decltype(&event_base_free)> base{
         make_base(), &event_base_free};
     std::deque<signal_watch> signals;
+    std::function<void(const callback_failure&)> on_failure;
     std::vector<std::function<void()>> posted;
     std::vector<std::unique_ptr<disposable>> disposed;
     event_ptr wake{nullptr, &event_free};
@@ -73,12 +77,13 @@
         auto items = std::exchange(disposed, {});
         items.clear();
         for (auto& task : tasks)
-            task();
+            loop->guard("run posted task", "", task);
     }
 };
 
 event_loop::event_loop() : state_(std::make_unique<state>())
 {
+    state_->loop = this;
     // A write to a closed socket has to fail, not to end the process.
     std::signal(SIGPIPE, SIG_IGN);
     state_->wake.reset(event_new(base(), -1, 0, &state::on_wake, state_.get()));
@@ -116,6 +121,7 @@
 void event_loop::on_signal(int signal, std::function<void()> handler)
 {
     auto& watch = state_->signals.emplace_back();
+    watch.loop = this;
     watch.handler = std::move(handler);
     watch.ev.reset(evsignal_new(base(), signal, &on_signal_event, &watch));
     if (!watch.ev || event_add(watch.ev.get(), nullptr) != 0)
@@ -134,6 +140,18 @@
     event_active(state_->wake.get(), EV_TIMEOUT, 0);
 }
 
+void event_loop::on_failure(
+    std::function<void(const callback_failure&)> handler)
+{
+    state_->on_failure = std::move(handler);
+}
+
+void event_loop::tell(const callback_failure& failure) const
+{
+    if (state_->on_failure)
+        state_->on_failure(failure);
+}
+
 event_base* event_loop::base() const
 {
     return state_->base.get();
@@ -141,6 +159,7 @@
 
 struct timer::state
 {
+    event_loop* loop;
     std::function<void()> handler;
     event_ptr ev{nullptr, &event_free};
     bool* destroyed = nullptr; ///< set while the handler runs
@@ -166,7 +185,7 @@
         bool gone = false;
         destroyed = &gone;
         auto running = std::move(handler);
-        running();
+        loop->guard("run timer", "", running);
         if (gone)
             return;
         handler = std::move(running);
@@ -177,6 +196,7 @@
 timer::timer(event_loop& loop, std::function<void()> handler)
     : state_(std::make_unique<state>())
 {
+    state_->loop = &loop;
     state_->handler = std::move(handler);
     state_->ev.reset(evtimer_new(loop.base(), &state::on_time, state_.get()));
 }
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -155,7 +155,11 @@
     auto made = read_request(request, connection.handle);
     made->connection = &connection;
     connection.exchange = made.get();
-    handle(std::make_unique<server_exchange>(std::move(made)));
+    const auto step = "answer " + made->target;
+    const auto peer = made->peer;
+    loop.guard(step, peer, [&] {
+        handle(std::make_unique<server_exchange>(std::move(made)));
+    });
 }
 
 bool http_server::state::refuse_excess(evhttp_request* request)
