Show the users' incident in three tests that fail

Six routers as processes, callers, a row in the targets' table that is no UTF-8, three added routes. Ruled out before: rows of wrong types and kills with good rows show none of them.

--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -25,8 +25,10 @@
 endforeach()
 
 # The router against stand-ins of the users' platform.
-vanillapost_test_functions(
-  ${PROJECT_SOURCE_DIR}/test/platform/test_router.py router 120)
+file(GLOB router_tests CONFIGURE_DEPENDS test/platform/test_*.py)
+foreach(source ${router_tests})
+  vanillapost_test_functions(${source} router 120)
+endforeach()
 
 # A short soak with fixed seeds; test/platform/soak.py plays more by hand.
 foreach(seed 11 29)
--- a/test/platform/caller.py
+++ b/test/platform/caller.py
@@ -74,6 +74,7 @@
         self._count += 1
         attempt_id = f"{self._name}-{self._count}"
         asked = self._truth.ask(attempt_id, route.service, route.repeatable)
+        asked.route = route.name
         asked.router = self._link_address
         body = b"" if route.repeatable else attempt_id.encode() * 20
         method = "GET" if route.repeatable else "POST"
--- a/test/platform/fleet.py
+++ b/test/platform/fleet.py
@@ -102,6 +102,17 @@
         except (wire.Broken, OSError, asyncio.TimeoutError):
             return False
 
+    async def metric(self, name):
+        """Value of a metric without labels; nothing while it is not told."""
+        try:
+            answer = await asyncio.wait_for(get(self.metrics, "/metrics"), 1)
+        except (wire.Broken, OSError, asyncio.TimeoutError):
+            return None
+        for line in answer.body.decode().splitlines():
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        return None
+
     async def wait_ready(self):
         until = time.monotonic() + START_S
         while not await self.is_ready():
@@ -127,6 +138,7 @@
         self._proxied = proxied
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
+        self.ends = []  # (name, exit status) of routers that ended
         self._next_target = 0
         self._loads = 0
 
@@ -207,6 +219,19 @@
     async def write_config(self):
         self.version += 3
         await self.store.put("op", "config", json.dumps(self.make_config()))
+        now = time.monotonic()
+        for route in self.routes:
+            self.truth.in_force.setdefault(route.name, now)
+
+    async def keep_running(self, pause_s=0.3):
+        """Starts routers again that end, as the platform does."""
+        while True:
+            for router in self.routers:
+                if router.process.poll() is not None:
+                    self.ends.append((router.name, router.process.returncode))
+                    await asyncio.sleep(pause_s)
+                    router.start()
+            await asyncio.sleep(0.02)
 
     def caller(self, name, zone="a"):
         return Caller(name, zone, self, self.truth, self.random)
--- /dev/null
+++ b/test/platform/test_incidents.py
@@ -0,0 +1,68 @@
+"""Failures that users saw on their machines, one test each."""
+
+import asyncio
+import os
+import sys
+
+sys.path.insert(0, os.path.dirname(__file__))
+
+from fleet import Fleet, Route  # noqa: E402
+
+CONFIG_BOUND_S = 2.0  # from the acknowledgement of a version
+NO_UTF8 = b"\xc1\xbf\x80 written by somebody else"
+VERSION = "vanillapost_configuration_version"
+
+
+async def change_routes(fleet, changes=3):
+    """Adds a route at a time; each has to be in force in time everywhere."""
+    for i in range(changes):
+        fleet.routes.append(
+            Route(f"added{i}", "shop.example", f"/added{i}/", "stock"))
+        await fleet.write_config()
+        await asyncio.sleep(CONFIG_BOUND_S)
+        versions = [await r.metric(VERSION) for r in fleet.routers]
+        if versions != [fleet.version] * len(fleet.routers):
+            fleet.truth.broken("CONFIG", f"{versions} are in force, "
+                               f"{fleet.version} is acknowledged")
+
+
+def play(judge, row):
+    """Callers of six routers, half of which rely on the others for news,
+    while a row that nobody can read is in the targets' table."""
+
+    async def scenario():
+        async with Fleet(routers=6) as fleet:
+            await fleet.wait_ready()
+            await asyncio.sleep(3)
+            keeper = asyncio.create_task(fleet.keep_running())
+            load = asyncio.create_task(fleet.load(9))
+            await fleet.store.put("servers", "i-other", row)
+            await asyncio.sleep(1)
+            await change_routes(fleet)
+            await load
+            keeper.cancel()
+            judge(fleet)
+
+    asyncio.run(scenario())
+
+
+def test_a_row_that_is_no_utf8_ended_routers():
+    def judge(fleet):
+        assert fleet.ends == []
+
+    play(judge, NO_UTF8)
+
+
+def test_an_added_route_was_missing_while_routers_ended():
+    def judge(fleet):
+        fleet.truth.check_routes(CONFIG_BOUND_S)
+        assert fleet.truth.violations == []
+
+    play(judge, NO_UTF8)
+
+
+def test_requests_were_cut_by_routers_that_ended():
+    def judge(fleet):
+        assert [a for a in fleet.truth.asked.values() if a.status == 0] == []
+
+    play(judge, NO_UTF8)
--- a/test/platform/truth.py
+++ b/test/platform/truth.py
@@ -15,6 +15,7 @@
     attempt_id: str
     service: str
     repeatable: bool
+    route: str = ""
     router: str = ""
     ended: float = 0.0
     status: int = 0  # 0: the connection ended, -1: no answer in time
@@ -23,6 +24,7 @@
 class Truth:
     def __init__(self, ratio=0.2, allowance=58, window_s=10.0):
         self.asked = {}
+        self.in_force = {}  # routes, and when they were acknowledged
         self.runs = defaultdict(list)
         self.violations = []
         self._ratio = ratio
@@ -54,6 +56,15 @@
             self.broken("REFUSED", f"{run.attempt_id} ran after "
                         f"{asked.status}")
 
+    def check_routes(self, bound_s):
+        """A route is served from that time after its acknowledgement on."""
+        for asked in self.asked.values():
+            since = self.in_force.get(asked.route)
+            if asked.status == 404 and since and asked.at > since + bound_s:
+                self.broken("CONFIG", f"{asked.attempt_id} found no route "
+                            f"{asked.route} at {asked.router} "
+                            f"{asked.at - since:.2f} s after it was there")
+
     def check_end(self):
         """What can only be judged when everything is over."""
         for asked in self.asked.values():
