Pass rows of the store on as bytes, not as texts

Callers saw connections close without an answer, and 404 on routes that had been in force for seconds; routers ended by themselves, over and over.

Cause: values of the store's rows may be any bytes. A router told them to its peers as JSON text; nlohmann's dump throws at bytes that are no UTF-8 (type_error.316), in a callback of evhttp where nobody catches, and the process ended. As datagrams they were CBOR texts, which receivers refuse, so whoever relied on others fell behind, asked, and ended the one that answered. Who knew the newest rows ended first, so that old ones were learnt.

Ruled out: rows of wrong types (no end), kills alone (no late refusal).

Change: keys and values are byte strings in messages between routers, and one encoding serves datagrams and the answer to a question, now /v2/state with a bound on its length.

Why it works: a byte string holds any row, and the property that what one instance tells another holds exactly is tested with arbitrary bytes.

--- a/apps/router/directory.cpp
+++ b/apps/router/directory.cpp
@@ -1,5 +1,7 @@
 #include "directory.hpp"
 
+#include "vanillapost/src/io/detail/cbor.hpp"
+
 #include <charconv>
 #include <set>
 
@@ -10,9 +12,10 @@
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
-constexpr std::string_view state_path = "/v1/state";
+constexpr std::string_view state_path = "/v2/state";
 constexpr std::string_view metrics_path = "/metrics";
 
+constexpr const char* cbor_type = "application/cbor";
 constexpr const char* json_type = "application/json";
 constexpr const char* text_type = "text/plain";
 constexpr std::string_view health_path = "/healthz";
@@ -93,7 +96,8 @@
         return value;
     };
     const state_revisions known{revision("operators"), revision("targets")};
-    return {status_ok, json_type, state_.difference(known).dump()};
+    return {status_ok, cbor_type,
+            io::detail::write_message(state_.difference(known))};
 }
 
 directory_answer directory::tell_status() const
--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 using namespace std::chrono_literals;
+using io::detail::parse_message;
+using io::detail::write_message;
 using nlohmann::json;
 
 /// Peers rely on an instance that follows the store while they hear it.
@@ -24,15 +26,11 @@
 constexpr duration question_timeout = 800ms;
 /// Larger changes are asked for over a connection.
 constexpr std::size_t max_relay_bytes = 1200;
+/// Longest answer to a question for state.
+constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
 constexpr duration member_list_interval = 10s;
 constexpr int status_ok = 200;
 
-std::string encode(const json& message)
-{
-    const auto bytes = json::to_cbor(message);
-    return {bytes.begin(), bytes.end()};
-}
-
 std::string_view name_of(shared_table which)
 {
     return which == shared_table::operators ? "operators" : "targets";
@@ -160,14 +158,14 @@
 
 void peer_controller::send_heartbeat()
 {
-    send_to_peers(encode({{"heartbeat", to_json(make_heartbeat())}}));
+    send_to_peers(write_message({{"heartbeat", to_json(make_heartbeat())}}));
 }
 
 void peer_controller::send_hello(const io::address& to, bool ask)
 {
-    socket_.send(to, encode({{"hello", to_json(known_.members.self())},
-                             {"heartbeat", to_json(make_heartbeat())},
-                             {"ask", ask}}));
+    socket_.send(to, write_message({{"hello", to_json(known_.members.self())},
+                                    {"heartbeat", to_json(make_heartbeat())},
+                                    {"ask", ask}}));
 }
 
 // Ports are the same on all instances.
@@ -191,8 +189,8 @@
         send_heartbeat();
         return;
     }
-    const auto bytes =
-        encode({{"table", name_of(which)}, {"change", to_json(difference)}});
+    const auto bytes = write_message(
+        {{"table", name_of(which)}, {"change", to_message(difference)}});
     if (bytes.size() > max_relay_bytes)
         send_heartbeat();
     else
@@ -203,7 +201,7 @@
                                     std::string_view bytes)
 {
     try {
-        take_message(from, io::detail::parse_message(bytes));
+        take_message(from, parse_message(bytes));
     } catch (const json::exception& failure) {
         log_.request(
             io::log_level::warning, "datagram_unreadable",
@@ -275,21 +273,26 @@
     asked_peer_ = std::make_unique<io::http_client>(
         loop_, io::parse_address(peer.query_address));
     io::http_request request;
-    request.target = "/v1/state?operators=" + std::to_string(known.operators) +
+    request.target = "/v2/state?operators=" + std::to_string(known.operators) +
                      "&targets=" + std::to_string(known.targets);
     io::call_handlers handlers;
     handlers.on_headers = [this](int status,
                                  std::span<const io::header_field>) {
         answer_status_ = status;
     };
-    handlers.on_data = [this](std::string_view data) { answer_.append(data); };
+    handlers.on_data = [this](std::string_view data) {
+        if (answer_.size() <= max_answer_bytes)
+            answer_.append(data);
+    };
     const auto name = peer.name.value;
     handlers.on_done = [this, name] {
         try {
             if (answer_status_ != status_ok)
                 throw error("ask for state", name,
                             "status " + std::to_string(answer_status_));
-            state_.merge(json::parse(answer_), name);
+            if (answer_.size() > max_answer_bytes)
+                throw error("ask for state", name, "too long");
+            state_.merge(parse_message(answer_), name);
             metrics_.count_state_question("taken");
         } catch (const std::exception& failure) {
             metrics_.count_state_question("unreadable");
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -132,8 +132,8 @@
         members.push_back(to_json(peer.who));
     auto targets = targets_.state.since(known.targets);
     targets.after_outage = known_.targets.is_relisting(loop_.now());
-    return {{"operators", to_json(operators_.state.since(known.operators))},
-            {"targets", to_json(targets)},
+    return {{"operators", to_message(operators_.state.since(known.operators))},
+            {"targets", to_message(targets)},
             {"members", std::move(members)}};
 }
 
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state_controller.hpp
@@ -47,7 +47,8 @@
 
     state_revisions revisions() const;
 
-    /// What an instance lacks that knows the tables up to `known`.
+    /// What an instance lacks that knows the tables up to `known`, as a
+    /// message.
     nlohmann::json difference(const state_revisions& known) const;
 
     /// Takes over what a peer knows.
--- a/apps/router/state_table.cpp
+++ b/apps/router/state_table.cpp
@@ -13,11 +13,22 @@
 /// gets the whole table.
 constexpr duration removal_memory = std::chrono::minutes(2);
 
+json to_bytes(const std::string& text)
+{
+    return json::binary({text.begin(), text.end()});
+}
+
+std::string parse_bytes(const json& document)
+{
+    const auto& bytes = document.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
 io::store_row parse_row(const json& document)
 {
     io::store_row row;
-    row.key = document.at("key").get<std::string>();
-    row.value = document.at("value").get<std::string>();
+    row.key = parse_bytes(document.at("key"));
+    row.value = parse_bytes(document.at("value"));
     row.revision = document.at("revision").get<std::uint64_t>();
     row.removed = document.at("removed").get<bool>();
     return row;
@@ -25,12 +36,12 @@
 
 } // namespace
 
-json to_json(const state_difference& difference)
+json to_message(const state_difference& difference)
 {
     json rows = json::array();
     for (const auto& row : difference.rows)
-        rows.push_back({{"key", row.key},
-                        {"value", row.value},
+        rows.push_back({{"key", to_bytes(row.key)},
+                        {"value", to_bytes(row.value)},
                         {"revision", row.revision},
                         {"removed", row.removed}});
     return {{"after", difference.after},
--- a/apps/router/state_table.hpp
+++ b/apps/router/state_table.hpp
@@ -22,7 +22,9 @@
     std::vector<io::store_row> rows;
 };
 
-nlohmann::json to_json(const state_difference& difference);
+/// As a part of a message. Keys and values of rows are byte strings: whoever
+/// writes them may write anything.
+nlohmann::json to_message(const state_difference& difference);
 
 /// \throws error  when a field is missing or of another type
 state_difference parse_state_difference(const nlohmann::json& document);
--- a/include/vanillapost/src/io/detail/cbor.hpp
+++ b/include/vanillapost/src/io/detail/cbor.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 
 namespace vanillapost::io::detail {
@@ -15,6 +16,10 @@
 ///                at most `max_message_depth` deep
 nlohmann::json parse_message(std::string_view bytes);
 
+/// A message as bytes that `parse_message` reads. Its texts have to be UTF-8;
+/// what need not be is a byte string.
+std::string write_message(const nlohmann::json& message);
+
 } // namespace vanillapost::io::detail
 
 #endif
--- a/src/io/cbor.cpp
+++ b/src/io/cbor.cpp
@@ -116,4 +116,10 @@
     return message;
 }
 
+std::string write_message(const json& message)
+{
+    const auto bytes = json::to_cbor(message);
+    return {bytes.begin(), bytes.end()};
+}
+
 } // namespace vanillapost::io::detail
--- a/test/state_table.cpp
+++ b/test/state_table.cpp
@@ -1,5 +1,7 @@
 #include "state_table.hpp"
 
+#include "vanillapost/src/io/detail/cbor.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -30,6 +32,40 @@
     return result;
 }
 
+state_difference relayed(const state_difference& difference)
+{
+    using namespace io::detail;
+    const nlohmann::json message = {{"change", to_message(difference)}};
+    return parse_state_difference(
+        parse_message(write_message(message)).at("change"));
+}
+
+// Ended routers that were asked for their state, 2026-12-04.
+TEST(StateMessage, ARowThatIsNoUtf8CouldNotBeTold)
+{
+    const io::store_row row{"\xc1\xbf", "\xc1\xbf\x80", 7, false};
+    const auto arrived = relayed({5, 7, false, false, {row}});
+    ASSERT_EQ(arrived.rows.size(), 1u);
+    EXPECT_EQ(arrived.rows[0].key, row.key);
+    EXPECT_EQ(arrived.rows[0].value, row.value);
+}
+
+RC_GTEST_PROP(StateMessage, WhatOneInstanceTellsAnotherHoldsExactly, ())
+{
+    state_table teller;
+    const auto count = *rc::gen::inRange<std::uint64_t>(0, 8);
+    for (std::uint64_t i = 1; i <= count; ++i) {
+        const io::store_row row{*rc::gen::arbitrary<std::string>(),
+                                *rc::gen::arbitrary<std::string>(), i,
+                                *rc::gen::arbitrary<bool>()};
+        teller.apply({i - 1, i, false, false, {row}}, start);
+    }
+    state_table learner;
+    learner.apply(relayed(teller.since(0)), start);
+    RC_ASSERT(present(learner) == present(teller));
+    RC_ASSERT(learner.revision() == teller.revision());
+}
+
 TEST(StateTable, AWholeReadingRemovesWhatItDoesNotName)
 {
     state_table table;
@@ -129,8 +165,7 @@
     for (const auto at : order)
         if (copy.follows(passed_on[at]))
             copy.apply(passed_on[at], start);
-    const auto missing =
-        parse_state_difference(to_json(source.since(copy.revision())));
+    const auto missing = relayed(source.since(copy.revision()));
     RC_ASSERT(copy.follows(missing));
     copy.apply(missing, start);
     RC_ASSERT(present(copy) == present(source));
@@ -141,14 +176,11 @@
 {
     state_table table;
     table.apply({0, 5, true, false, {put("a", 4), put("b", 5)}}, start);
-    auto text = to_json(table.since(0)).dump();
-    text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+    auto bytes = io::detail::write_message(to_message(table.since(0)));
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
         *rc::gen::arbitrary<char>();
-    const auto document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_object())
-        return;
     try {
-        parse_state_difference(document);
+        parse_state_difference(io::detail::parse_message(bytes));
     } catch (const error&) {
         // Refused, as it should be.
     }
