Let a failed callback cost what it was about, not the process

Whatever was thrown in a callback of the event loop ended the process and with it every request in flight: callers saw connections close without an answer.

Change: every callback that libevent calls runs in event_loop::guard. A failure is told with its step and peer and ends there; the caller's connection is broken off, a call or an attempt gets its failure, a request its final answer (refused if it has not run, else 502), rows and members are left out one by one. What has to go on is scheduled before what may fail: the follower's next question, the next beat, the next greeting. A timer keeps its handler.

--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -74,8 +74,8 @@
         beat();
         return;
     }
-    greet_seeds();
     join_timer_.start_once(greeting_interval);
+    greet_seeds();
 }
 
 bool peer_controller::is_seed() const
@@ -119,6 +119,13 @@
 }
 
 void peer_controller::beat()
+{
+    // Whatever fails: peers take an instance that falls silent for dead.
+    loop_.guard("keep in touch with peers", "", [this] { keep_in_touch(); });
+    beat_timer_.start_once(interval());
+}
+
+void peer_controller::keep_in_touch()
 {
     const auto now = loop_.now();
     if (known_.members.advance(now))
@@ -129,7 +136,6 @@
         greet_seeds();
     ask_if_behind();
     keep_member_list();
-    beat_timer_.start_once(interval());
 }
 
 // Whether this instance follows the store itself.
@@ -202,11 +208,7 @@
 {
     try {
         take_message(from, parse_message(bytes));
-    } catch (const json::exception& failure) {
-        log_.request(
-            io::log_level::warning, "datagram_unreadable",
-            {{"peer", io::to_string(from)}, {"reason", failure.what()}});
-    } catch (const error& failure) {
+    } catch (const std::exception& failure) {
         log_.request(
             io::log_level::warning, "datagram_unreadable",
             {{"peer", io::to_string(from)}, {"reason", failure.what()}});
--- a/apps/router/peer_controller.hpp
+++ b/apps/router/peer_controller.hpp
@@ -39,6 +39,7 @@
 private:
     void join();
     void beat();
+    void keep_in_touch();
     void send_heartbeat();
     void send_hello(const io::address& to, bool ask);
     void greet_seeds();
--- a/apps/router/request_answers.cpp
+++ b/apps/router/request_answers.cpp
@@ -89,6 +89,22 @@
     finish(request_result::failed, status, reason);
 }
 
+void request_task::answer_failure()
+{
+    constexpr std::string_view reason = "a step of the router failed";
+    if (state_ == stage::ended)
+        return;
+    const bool answered = context_.loop.guard("give up request", id_, [&] {
+        give_up(status_bad_gateway, reason, shortest_retry_after);
+    });
+    if (answered || state_ == stage::ended)
+        return;
+    // The connection's end is the last thing that can tell the caller.
+    context_.loop.guard("drop request", id_, [&] {
+        finish(request_result::failed, status_bad_gateway, reason);
+    });
+}
+
 void request_task::finish(request_result result, int status,
                           std::string_view reason)
 {
--- a/apps/router/request_attempts.cpp
+++ b/apps/router/request_attempts.cpp
@@ -85,14 +85,16 @@
 {
     io::target_call_handlers handlers;
     handlers.on_head = [this, &made](io::target_answer_head&& head) {
-        take_head(made, std::move(head));
+        guard("take answer", [&] { take_head(made, std::move(head)); });
     };
     handlers.on_data = [this, &made](std::string_view data) {
-        take_data(made, data);
+        guard("take answer", [&] { take_data(made, data); });
+    };
+    handlers.on_done = [this, &made] {
+        guard("take answer", [&] { take_end(made); });
     };
-    handlers.on_done = [this, &made] { take_end(made); };
     handlers.on_failure = [this, &made](const io::target_failure& failure) {
-        take_failure(made, failure);
+        guard("take failure", [&] { take_failure(made, failure); });
     };
     return handlers;
 }
--- a/apps/router/request_task.cpp
+++ b/apps/router/request_task.cpp
@@ -38,7 +38,9 @@
       rule_(std::move(request.rule)), claimed_(!request.booking_key.empty()),
       service_(std::move(service)),
       ledger_(may_repeat(rule_.kind), rule_.max_attempts),
-      arrived_(request.arrived), timer_(context.loop, [this] { on_timer(); })
+      arrived_(request.arrived), timer_(context.loop, [this] {
+          guard("time request", [this] { on_timer(); });
+      })
 {
     set_deadlines(request.time_left);
 }
@@ -47,8 +49,9 @@
 
 void request_task::start()
 {
-    exchange_->on_gone([this] { on_gone(); });
-    place();
+    exchange_->on_gone(
+        [this] { guard("drop request", [this] { on_gone(); }); });
+    guard("place request", [this] { place(); });
 }
 
 void request_task::set_deadlines(std::optional<duration> time_left)
@@ -171,6 +174,11 @@
 }
 
 void request_task::on_measured(const target_id& target)
+{
+    guard("take measurement", [&] { take_measurement(target); });
+}
+
+void request_task::take_measurement(const target_id& target)
 {
     const bool watched = state_ == stage::running && !attempts_.empty() &&
                          watch_at_ != time_point::max() &&
@@ -187,7 +195,7 @@
 void request_task::on_slot_freed()
 {
     if (state_ == stage::waiting)
-        place();
+        guard("place request", [this] { place(); });
 }
 
 duration request_task::watch_interval() const
--- a/apps/router/request_task.hpp
+++ b/apps/router/request_task.hpp
@@ -76,6 +76,11 @@
         bool streaming = false;
     };
 
+    /// Runs a step; when it fails, the request gets its final answer.
+    template <class Step>
+    void guard(std::string_view name, const Step& step);
+    void answer_failure();
+    void take_measurement(const target_id& target);
     void set_deadlines(std::optional<duration> time_left);
     placement_effort effort(time_point now) const;
     void follow(const placement_decision& decision);
@@ -146,6 +151,13 @@
     io::timer timer_;
 };
 
+template <class Step>
+void request_task::guard(std::string_view name, const Step& step)
+{
+    if (!context_.loop.guard(name, id_, step))
+        answer_failure();
+}
+
 } // namespace vanillapost::router
 
 #endif
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -260,7 +260,7 @@
             log_.state(io::log_level::info, "target_report_outdated",
                        {{"target", row.key},
                         {"revision", std::to_string(row.revision)}});
-    } catch (const error& failure) {
+    } catch (const std::exception& failure) {
         report_unreadable(targets_, "target_unreadable", row.key,
                           failure.what());
         known_.targets.remove(id, now);
@@ -309,7 +309,7 @@
         for (const auto& each : list) {
             try {
                 add_member(each);
-            } catch (const error& failure) {
+            } catch (const std::exception& failure) {
                 report("members_unreadable", row.key, failure.what());
             }
         }
--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -72,6 +72,8 @@
     static void on_written(bufferevent* stream, void* self);
     static void on_event(bufferevent* stream, short what, void* self);
 
+    template <class Callback>
+    void guard(std::string_view step, const Callback& callback);
     void read_requests();
     void take_head(message_head&& head);
     void take_body(std::string_view bytes);
--- a/include/vanillapost/src/io/detail/client_connection.hpp
+++ b/include/vanillapost/src/io/detail/client_connection.hpp
@@ -57,6 +57,8 @@
     static void handle_close(evhttp_connection* connection, void* self);
     static void handle_connect(bufferevent* stream, short what, void* self);
 
+    template <class Callback>
+    void guard(std::string_view step, const Callback& callback);
     void open();
     void watch_connect();
     evhttp_request* make_request(const http_request& request);
@@ -91,6 +93,7 @@
     bool refused_at_once_ = false;
     bool closed_ = false;
     bool has_headers_ = false;
+    bool handler_failed_ = false;
     bool paused_ = false;
 };
 
--- a/include/vanillapost/src/io/detail/target_link.hpp
+++ b/include/vanillapost/src/io/detail/target_link.hpp
@@ -61,6 +61,8 @@
     static void on_readable(bufferevent* stream, void* self);
     static void on_event(bufferevent* stream, short what, void* self);
 
+    template <class Callback>
+    void guard(std::string_view step, const Callback& callback);
     void open();
     void read_answers();
     void take_head(message_head&& head);
--- a/include/vanillapost/src/io/event_loop.hpp
+++ b/include/vanillapost/src/io/event_loop.hpp
@@ -59,19 +59,24 @@
     /// Calls `handler` with each failure that comes out of a callback.
     void on_failure(std::function<void(const callback_failure&)> handler);
 
-    /// Runs a callback of the loop and tells of its failure.
+    /// Runs a callback of the loop. A failure ends here: it costs what the
+    /// callback was about, which the caller has to bring to an end, and never
+    /// the process.
     /// \param step  what it is to do, such as "answer request"
-    /// \throws whatever `callback` throws
+    /// \return false when it failed, which was told to the failure handler
     template <class Callback>
-    void guard(std::string_view step, std::string_view peer,
+    bool guard(std::string_view step, std::string_view peer,
                const Callback& callback)
     {
         try {
             callback();
+            return true;
         } catch (const std::exception& failure) {
             tell({step, peer, failure.what()});
-            throw;
+        } catch (...) {
+            tell({step, peer, "thrown: no exception of the library"});
         }
+        return false;
     }
 
     event_base* base() const;
--- a/include/vanillapost/src/io/table_follower.hpp
+++ b/include/vanillapost/src/io/table_follower.hpp
@@ -74,7 +74,8 @@
     void take_page(store_result result);
     void follow();
     void take_changes(store_result result);
-    void on_answer();
+    /// \return whether it ends an outage
+    bool note_answer();
     void on_failure(const store_failure& failure);
 
     event_loop& loop_;
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -70,22 +70,33 @@
 
 caller_connection::~caller_connection() = default;
 
+// A connection whose callback fails is broken off.
+template <class Callback>
+void caller_connection::guard(std::string_view step, const Callback& callback)
+{
+    if (!host_.loop->guard(step, "", callback))
+        break_off();
+}
+
 void caller_connection::on_readable(bufferevent*, void* self)
 {
-    connection_of(self).read_requests();
+    auto& connection = connection_of(self);
+    connection.guard("read requests", [&] { connection.read_requests(); });
 }
 
 void caller_connection::on_written(bufferevent*, void* self)
 {
     auto& connection = connection_of(self);
     if (connection.closing_ && connection.slots_.empty())
-        connection.close_gracefully();
+        connection.guard("close connection",
+                         [&] { connection.close_gracefully(); });
 }
 
 void caller_connection::on_event(bufferevent*, short what, void* self)
 {
+    auto& connection = connection_of(self);
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-        connection_of(self).end();
+        connection.guard("end connection", [&] { connection.end(); });
 }
 
 void caller_connection::read_requests()
@@ -159,7 +170,8 @@
     ++host_.in_flight;
     auto exchange = std::make_unique<caller_exchange>(slot);
     slot.owner = exchange.get();
-    host_.handle(std::move(exchange));
+    // The parser is on the stack, and it is not made for exceptions.
+    guard("take request", [&] { host_.handle(std::move(exchange)); });
 }
 
 // Answers of earlier requests still go out; what follows is not read.
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -156,7 +156,9 @@
     static void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*,
                           int, void* self)
     {
-        static_cast<state*>(self)->accept(socket);
+        auto& server = *static_cast<state*>(self);
+        server.host.loop->guard("accept connection", "",
+                                [&] { server.accept(socket); });
     }
 
     void accept(evutil_socket_t socket)
--- a/src/io/client_connection.cpp
+++ b/src/io/client_connection.cpp
@@ -72,6 +72,7 @@
         open();
     error_.reset();
     has_headers_ = false;
+    handler_failed_ = false;
     paused_ = false;
     busy_ = true;
     starting_ = true;
@@ -185,9 +186,19 @@
     return !closed_ && !is_closed_by_peer(bufferevent_getfd(stream_));
 }
 
+// A call whose handler fails has no usable answer.
+template <class Callback>
+void client_connection::guard(std::string_view step, const Callback& callback)
+{
+    if (!loop_.guard(step, to_string(peer_), callback))
+        handler_failed_ = true;
+}
+
 int client_connection::handle_headers(evhttp_request* request, void* self)
 {
-    connection_of(self).deliver_headers(request);
+    auto& connection = connection_of(self);
+    connection.guard("take headers",
+                     [&] { connection.deliver_headers(request); });
     return 0;
 }
 
@@ -207,7 +218,8 @@
 
 void client_connection::handle_data(evhttp_request* request, void* self)
 {
-    connection_of(self).deliver_data(request);
+    auto& connection = connection_of(self);
+    connection.guard("take data", [&] { connection.deliver_data(request); });
 }
 
 void client_connection::deliver_data(evhttp_request* request)
@@ -232,14 +244,14 @@
     auto& connection = connection_of(self);
     connection.closed_ = true;
     if (!connection.busy_ && !connection.abandoned_)
-        connection.idle_(connection, false);
+        connection.guard("end connection",
+                         [&] { connection.idle_(connection, false); });
 }
 
 void client_connection::handle_answer(evhttp_request* request, void* self)
 {
     auto& connection = connection_of(self);
-    connection.loop_.guard("take answer", to_string(connection.peer_),
-                           [&] { connection.take_answer(request); });
+    connection.guard("take answer", [&] { connection.take_answer(request); });
 }
 
 void client_connection::take_answer(evhttp_request* request)
@@ -251,7 +263,12 @@
         return;
     }
     deliver_data(request);
-    if (busy_)
+    if (!busy_)
+        return;
+    if (handler_failed_)
+        finish(call_failure{call_failure_kind::bad_answer, true,
+                            "its handler failed"});
+    else
         finish(std::nullopt);
 }
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -89,19 +89,25 @@
 
 void on_request(evhttp_request* request, void* self)
 {
-    static_cast<http_server::state*>(self)->accept_request(request);
+    auto& server = *static_cast<http_server::state*>(self);
+    server.loop.guard("accept request", "",
+                      [&] { server.accept_request(request); });
 }
 
 void on_connection_closed(evhttp_connection*, void* self)
 {
     auto& connection = *static_cast<detail::server_connection*>(self);
-    connection.owner->connection_closed(connection);
+    auto& server = *connection.owner;
+    server.loop.guard("end connection", "",
+                      [&] { server.connection_closed(connection); });
 }
 
 void on_answer_complete(evhttp_request*, void* self)
 {
     auto& connection = *static_cast<detail::server_connection*>(self);
-    connection.owner->request_ended(connection);
+    auto& server = *connection.owner;
+    server.loop.guard("end request", "",
+                      [&] { server.request_ended(connection); });
 }
 
 } // namespace
--- a/src/io/server_exchange.cpp
+++ b/src/io/server_exchange.cpp
@@ -82,7 +82,7 @@
 {
     // The handler may destroy the exchange.
     if (auto notify = on_drained)
-        notify();
+        connection->owner->loop.guard("write on", peer, notify);
 }
 
 server_exchange::server_exchange(std::unique_ptr<state> impl)
--- a/src/io/table_follower.cpp
+++ b/src/io/table_follower.cpp
@@ -76,13 +76,15 @@
         read_page(pages_.back().key + '\0');
         return;
     }
-    on_answer();
     needs_read_ = false;
     revision_ = std::max(revision_, read_revision_);
     const auto rows = std::exchange(pages_, {});
+    const bool back = note_answer();
+    // Before the handlers: it must go on when one of them fails.
+    follow();
+    if (back)
+        handlers_.on_back();
     handlers_.on_read(rows, read_revision_);
-    if (started_)
-        follow();
 }
 
 void table_follower::follow()
@@ -103,32 +105,26 @@
         on_failure(*failure);
         return;
     }
-    on_answer();
     const auto& changes = std::get<store_rows>(result);
     revision_ = std::max(revision_, changes.revision);
+    const bool back = note_answer();
+    timer_.start_once(settings_.batch_delay);
+    if (back)
+        handlers_.on_back();
     if (!changes.rows.empty())
         handlers_.on_changed(changes.rows);
-    if (started_)
-        timer_.start_once(settings_.batch_delay);
 }
 
-void table_follower::on_answer()
+bool table_follower::note_answer()
 {
     failures_ = 0;
     confirmed_ = true;
-    if (reachable_)
-        return;
-    reachable_ = true;
-    handlers_.on_back();
+    return !std::exchange(reachable_, true);
 }
 
 void table_follower::on_failure(const store_failure& failure)
 {
     const bool outage = failure.kind != store_failure_kind::history_lost;
-    if (outage && reachable_) {
-        reachable_ = false;
-        handlers_.on_lost(failure);
-    }
     constexpr int max_doublings = 5;
     const auto delay = std::min(settings_.first_retry *
                                     (1 << std::min(failures_, max_doublings)),
@@ -139,6 +135,10 @@
     const auto half = std::max<std::int64_t>(delay.count() / 2, 1);
     const auto spread = duration(static_cast<std::int64_t>(random_()) % half);
     timer_.start_once(outage ? delay / 2 + spread : spread / 4);
+    if (outage && reachable_) {
+        reachable_ = false;
+        handlers_.on_lost(failure);
+    }
 }
 
 } // namespace vanillapost::io
--- a/src/io/target_link.cpp
+++ b/src/io/target_link.cpp
@@ -137,14 +137,29 @@
         bufferevent_enable(stream_.get(), EV_READ);
 }
 
+// A link whose callback fails is of no use any more.
+template <class Callback>
+void target_link::guard(std::string_view step, const Callback& callback)
+{
+    const auto peer = to_string(target_);
+    if (loop_.guard(step, peer, callback))
+        return;
+    loop_.guard("end connection", peer, [this] {
+        if (!ended_)
+            fail("a callback failed");
+    });
+}
+
 void target_link::on_readable(bufferevent*, void* self)
 {
-    link_of(self).read_answers();
+    auto& link = link_of(self);
+    link.guard("read answer", [&] { link.read_answers(); });
 }
 
 void target_link::on_event(bufferevent*, short what, void* self)
 {
-    link_of(self).handle_event(what);
+    auto& link = link_of(self);
+    link.guard("handle event", [&] { link.handle_event(what); });
 }
 
 void target_link::read_answers()
