Tell by each table whether an instance stays behind

Cause: an instance that knows less than a peer for 0.7 s reads the store itself, but what it learnt of either table started that time anew. The targets' table went on moving, by datagrams, while the operators' table stood still: its change had been lost, and questions to peers ended without an answer. A configuration of more than 1200 bytes is never in a datagram, so it always depends on such a question.

Ruled out: the store (other routers had the version from it at once), the datagrams (the targets' rows arrived), the time in which a peer counts as dead (rows_taken names live peers throughout).

Change: the time is counted for each table by itself.

Before: ReaderChoice.WhoStaysBehindOnOneTableOnlyFollowsItself fails (does not follow after 0.9 s of a standstill).

--- a/include/vanillapost/src/members/reader_choice.hpp
+++ b/include/vanillapost/src/members/reader_choice.hpp
@@ -52,17 +52,26 @@
                        std::span<const known_member> live, time_point now);
 
 private:
+    /// Each table by itself: while one moves, the other can stand still.
+    struct table_progress
+    {
+        std::uint64_t seen = 0; ///< own revision when last compared
+        std::optional<time_point> behind_since;
+    };
+
     bool is_reader(const entry_id& self, store_access store,
                    std::span<const known_member> live) const;
     bool must_follow(const entry_id& self, store_access store,
                      std::span<const known_member> live, time_point now) const;
     bool is_behind(const state_revisions& revisions,
                    std::span<const known_member> live, time_point now);
+    bool stays_behind(table_progress& table, std::uint64_t known,
+                      std::uint64_t newest, time_point now) const;
 
     reader_settings settings_;
     time_point start_;
-    state_revisions seen_; ///< own ones when they were last compared
-    std::optional<time_point> behind_since_;
+    table_progress operators_;
+    table_progress targets_;
     std::optional<time_point> needed_at_;
 };
 
--- a/src/members/reader_choice.cpp
+++ b/src/members/reader_choice.cpp
@@ -71,20 +71,32 @@
                               std::span<const known_member> live,
                               time_point now)
 {
-    const bool behind = std::ranges::any_of(live, [&](const auto& each) {
-        return revisions.is_behind(each.heartbeat.revisions);
-    });
+    state_revisions newest;
+    for (const auto& each : live) {
+        const auto& known = each.heartbeat.revisions;
+        newest.operators = std::max(newest.operators, known.operators);
+        newest.targets = std::max(newest.targets, known.targets);
+    }
+    const bool operators =
+        stays_behind(operators_, revisions.operators, newest.operators, now);
+    const bool targets =
+        stays_behind(targets_, revisions.targets, newest.targets, now);
+    return operators || targets;
+}
+
+bool reader_choice::stays_behind(table_progress& table, std::uint64_t known,
+                                 std::uint64_t newest, time_point now) const
+{
     // Who still learns something is only a step behind the newest change.
-    const bool learnt = revisions != seen_;
-    seen_ = revisions;
-    if (!behind || learnt) {
-        behind_since_.reset();
-        if (!behind)
-            return false;
+    const bool learnt = known != table.seen;
+    table.seen = known;
+    if (known >= newest) {
+        table.behind_since.reset();
+        return false;
     }
-    if (!behind_since_)
-        behind_since_ = now;
-    return now - *behind_since_ > settings_.behind_limit;
+    if (learnt || !table.behind_since)
+        table.behind_since = now;
+    return now - *table.behind_since > settings_.behind_limit;
 }
 
 } // namespace vanillapost
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -241,6 +241,22 @@
     EXPECT_FALSE(idle.follows(live, start + 4s));
 }
 
+// A configuration that is not learnt, while targets come and go all the time.
+TEST(ReaderChoice, WhoStaysBehindOnOneTableOnlyFollowsItself)
+{
+    std::vector<known_member> live;
+    auto idle = idle_chooser(live);
+    live.back().heartbeat.revisions.operators = 2;
+    bool follows = false;
+    for (int i = 0; i < 9; ++i) {
+        EXPECT_FALSE(follows) << i;
+        live.back().heartbeat.revisions.targets += 1;
+        follows = idle.follows(live, start + i * 100ms);
+        idle.revisions.targets += 1;
+    }
+    EXPECT_TRUE(follows);
+}
+
 TEST(AddressChoice, CallersAreToldInstancesOfTheirDataCentre)
 {
     random_engine random(1);
