Let old lists say nothing of a member that is heard

A list of members, told by a peer or left in the store, may be old. One with an earlier process of a live instance replaced what was known of it: its heartbeats were refused until it had greeted again, and the directory left it out meanwhile.

Change: a list counts only for members that are not heard; a greeting from itself replaces them as before. Found in review by reading, not seen in a run. Members.AnOldListReplacedAMemberThatWasHeard covers it.

--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -15,6 +15,15 @@
 constexpr std::string_view member_list_key = "list";
 constexpr std::string_view from_store;
 
+member read_member(const json& document)
+{
+    auto who = parse_member(document);
+    // Checked here, so that these can be used later on without a check.
+    io::parse_address(who.peer_address);
+    io::parse_address(who.query_address);
+    return who;
+}
+
 } // namespace
 
 state_controller::state_controller(io::event_loop& loop, io::row_store& store,
@@ -145,7 +154,7 @@
         merge(shared_table::targets,
               parse_state_difference(difference.at("targets")), peer);
         for (const auto& each : difference.at("members"))
-            add_member(each);
+            add_listed_member(each);
     } catch (const json::exception& failure) {
         throw error("read state", "", failure.what());
     }
@@ -153,11 +162,12 @@
 
 void state_controller::add_member(const json& document)
 {
-    const auto who = parse_member(document);
-    // Checked here, so that these can be used later on without a check.
-    io::parse_address(who.peer_address);
-    io::parse_address(who.query_address);
-    known_.members.on_known(who, loop_.now());
+    known_.members.on_known(read_member(document), loop_.now());
+}
+
+void state_controller::add_listed_member(const json& document)
+{
+    known_.members.on_listed(read_member(document), loop_.now());
 }
 
 void state_controller::merge(shared_table which,
@@ -308,7 +318,7 @@
         }
         for (const auto& each : list) {
             try {
-                add_member(each);
+                add_listed_member(each);
             } catch (const std::exception& failure) {
                 report("members_unreadable", row.key, failure.what());
             }
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state_controller.hpp
@@ -60,7 +60,7 @@
     void merge(shared_table which, const state_difference& difference,
                std::string_view peer);
 
-    /// Takes a member that a peer or the store names.
+    /// Takes a member that names itself.
     /// \throws error  when it cannot be read, or cannot be reached as it says
     void add_member(const nlohmann::json& document);
 
@@ -107,6 +107,7 @@
     void take_target_rows(const std::vector<io::store_row>& changed);
     void take_target_row(const io::store_row& row);
     void finish_target_rows();
+    void add_listed_member(const nlohmann::json& document);
     void take_member_rows(const std::vector<io::store_row>& rows);
     void note_access(bool works);
     void report(std::string_view event, const std::string& key,
--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -41,9 +41,13 @@
 public:
     member_table(member self, const member_table_settings& settings = {});
 
-    /// How a member is reached, from itself, a peer or the store.
+    /// How a member is reached, from itself.
     void on_known(const member& who, time_point now);
 
+    /// The same from a peer or the store, which may be old: a member that is
+    /// heard speaks for itself.
+    void on_listed(const member& who, time_point now);
+
     /// \return false when the sender is unknown: ask it who it is
     bool on_heartbeat(const member_heartbeat& heartbeat, time_point now);
 
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -25,6 +25,14 @@
     changed_ = true;
 }
 
+void member_table::on_listed(const member& who, time_point now)
+{
+    const auto found = peers_.find(who.name);
+    const bool heard = found != peers_.end() && is_live(found->second, now);
+    if (!heard)
+        on_known(who, now);
+}
+
 bool member_table::on_heartbeat(const member_heartbeat& heartbeat,
                                 time_point now)
 {
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -48,6 +48,19 @@
     EXPECT_EQ(table.ready_peers(start).size(), 1u);
 }
 
+// An old list made a member that was heard unknown until it greeted again.
+TEST(Members, AnOldListReplacedAMemberThatWasHeard)
+{
+    auto table = heard(1);
+    auto old = make_member("m0", "d1");
+    old.incarnation = "0";
+    table.on_listed(old, start + 1s);
+    EXPECT_TRUE(table.on_heartbeat(make_heartbeat("m0"), start + 1s));
+    // Once it is dead, the list is all there is.
+    table.on_listed(old, start + 10s);
+    EXPECT_FALSE(table.on_heartbeat(make_heartbeat("m0"), start + 10s));
+}
+
 TEST(Members, ASilentMemberIsDeadUntilItIsHeardAgain)
 {
     auto table = heard(1);
