Read the store when a peer's answer cannot be understood

Cause: an answer that could not be read counted as being behind for 0.7 s, and that time was looked at on a beat only, each 0.5 to 1 s.

Ruled out: the store and the datagrams, which are the same in a fleet of one version (0.06 s).

Change: an answer that cannot be read means that peers cannot tell, so the store is followed from that moment for a while. The warnings are bounded like those of requests. ReaderChoice.WhoCannotBeToldByPeersFollowsItself covers the choice.

--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -59,7 +59,7 @@
 void peer_controller::start()
 {
     if (is_seed()) {
-        reader_.on_started_following(started_);
+        reader_.need_store(started_);
         state_.follow_store();
     }
     join();
@@ -298,15 +298,20 @@
             metrics_.count_state_question("taken");
         } catch (const std::exception& failure) {
             metrics_.count_state_question("unreadable");
-            log_.state(io::log_level::warning, "peer_state_unreadable",
-                       {{"peer", name}, {"reason", failure.what()}});
+            log_.request(io::log_level::warning, "peer_state_unreadable",
+                         {{"peer", name}, {"reason", failure.what()}});
+            // Such as a peer of another version: others may be like it.
+            reader_.need_store(loop_.now());
         }
-        loop_.post([this] { question_.reset(); });
+        loop_.post([this] {
+            question_.reset();
+            choose_source();
+        });
     };
     handlers.on_failure = [this, name](const io::call_failure& failure) {
         metrics_.count_state_question("unanswered");
-        log_.state(io::log_level::warning, "peer_did_not_tell_state",
-                   {{"peer", name}, {"reason", failure.what}});
+        log_.request(io::log_level::warning, "peer_did_not_tell_state",
+                     {{"peer", name}, {"reason", failure.what}});
         loop_.post([this] {
             question_.reset();
             ask_timer_.start_once(relay_time);
--- a/include/vanillapost/src/members/reader_choice.hpp
+++ b/include/vanillapost/src/members/reader_choice.hpp
@@ -39,8 +39,8 @@
     explicit reader_choice(time_point start,
                            const reader_settings& settings = {});
 
-    /// It follows the store already: keep to that until others are heard.
-    void on_started_following(time_point now)
+    /// Peers cannot tell what is asked: follow the store for a while.
+    void need_store(time_point now)
     {
         needed_at_ = now;
     }
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -197,6 +197,16 @@
     EXPECT_TRUE(alone.follows({}, start + 700ms));
 }
 
+TEST(ReaderChoice, WhoCannotBeToldByPeersFollowsItself)
+{
+    std::vector<known_member> live;
+    auto idle = idle_chooser(live);
+    EXPECT_FALSE(idle.follows(live));
+    idle.choice.need_store(start);
+    EXPECT_TRUE(idle.follows(live));
+    EXPECT_FALSE(idle.follows(live, start + 3s));
+}
+
 TEST(ReaderChoice, WhoLearnsOnIsNotBehind)
 {
     std::vector<known_member> live;
