Ask for the list of members until somebody is heard

Callers were not sent to it, and it knew of no other instance.

Cause: the list of members was asked for once; a refusal was only logged.

--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -29,6 +29,8 @@
 /// Longest answer to a question for state.
 constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
 constexpr duration member_list_interval = 10s;
+/// How often an instance that hears nobody looks for others in the store.
+constexpr duration member_read_interval = 5s;
 constexpr int status_ok = 200;
 
 std::string_view name_of(shared_table which)
@@ -152,8 +154,12 @@
         state_.follow_store();
     else
         state_.stop_following();
-    if (live.empty() && !std::exchange(members_read_, true))
+    const bool recently_read =
+        members_read_at_ && now < *members_read_at_ + member_read_interval;
+    if (live.empty() && !recently_read) {
+        members_read_at_ = now;
         state_.read_members();
+    }
 }
 
 void peer_controller::send_to_peers(std::string_view bytes)
--- a/apps/router/peer_controller.hpp
+++ b/apps/router/peer_controller.hpp
@@ -70,7 +70,7 @@
     std::uint16_t peer_port_;
     reader_choice reader_;
     time_point started_{};
-    bool members_read_ = false;
+    std::optional<time_point> members_read_at_;
     bool ready_ = false;
     bool leaving_ = false;
     std::vector<member> listed_; ///< as last left in the store
--- a/test/platform/fleet.py
+++ b/test/platform/fleet.py
@@ -154,15 +154,26 @@
             for service in ("stock", "ledger", "archive"):
                 for _ in range(per_zone):
                     await self.add_target(service, zone)
-        ports = self.random.sample(range(20000, 32000), 6)
-        self.routers = [Router(i, ZONES[i % 3], ports, address, [],
-                               self.folder) for i in range(count)]
+        self._ports = self.random.sample(range(20000, 32000), 6)
+        self._store_address = address
+        self.routers = [self._make_router(i) for i in range(count)]
         seeds = [r.settings["query_address"] for r in self.routers[:3]]
         for router in self.routers:
             router.settings["seeds"] = seeds
             router.start()
         return self
 
+    def _make_router(self, number):
+        return Router(number, ZONES[number % 3], self._ports,
+                      self._store_address, [], self.folder)
+
+    def add_router(self):
+        """One more, at an address of its own, that knows no seeds."""
+        router = self._make_router(len(self.routers))
+        self.routers.append(router)
+        router.start()
+        return router
+
     async def __aexit__(self, *_):
         for router in self.routers:
             if router.process and router.process.poll() is None:
--- a/test/platform/store.py
+++ b/test/platform/store.py
@@ -53,6 +53,9 @@
         if (table, "", key) in self._rows:
             await self._apply([(table, "", key, None)])
 
+    def has(self, table, key):
+        return (table, "", key) in self._rows
+
     async def forget_history(self):
         """Drops the history and cuts those who wait for changes."""
         self._log.clear()
--- a/test/platform/test_incidents.py
+++ b/test/platform/test_incidents.py
@@ -11,6 +11,7 @@
 CONFIG_BOUND_S = 2.0  # from the acknowledgement of a version
 NO_UTF8 = b"\xc1\xbf\x80 written by somebody else"
 VERSION = "vanillapost_configuration_version"
+MEMBERS_READ_S = 7.0  # a router that hears nobody asks every 5 s
 SERVED = 0.95  # two of six routers are killed meanwhile
 
 
@@ -75,3 +76,20 @@
         assert [a for a in cut if a.router not in killed] == []
 
     play(judge, NO_UTF8)
+
+
+def test_a_router_that_could_not_read_the_members_stayed_alone():
+    async def scenario():
+        async with Fleet(routers=2) as fleet:
+            await fleet.wait_ready()
+            while not fleet.store.has("members", "list"):
+                await asyncio.sleep(0.1)
+            fleet.store.mode = "busy"
+            fleet.store.reset_connections()
+            alone = fleet.add_router()
+            await asyncio.sleep(3)
+            fleet.store.mode = "ok"
+            await asyncio.sleep(MEMBERS_READ_S)
+            assert await alone.metric("vanillapost_members") == 3
+
+    asyncio.run(scenario())
