Answer 503, not 404, while a newer configuration may be in force

Cause: a starting router takes what a peer knows for the newest. Where the peers that are left are behind, an old version goes from one starting router to the next (rows_taken after=0 from a peer, version 4 while 7 was acknowledged), for as long as something ends processes faster than they read the store.

Ruled out: versions going back within a process (they rise only), readers that do not pass on (with good rows and kills the latest 404 came after 0.06 s).

Change: freshness tells whether the operators' table can be taken for the newest: somebody who reads the store, and whom it answers, knows no more, and no peer that is heard does. It lasts through an outage of the store. Until then a route that is missing is refused with 503 and a time to come back, which is true: the request has not run.

Why it works: whatever keeps a router behind, it no longer says that a route does not exist because it has not heard of it.

router_a_router_that_learnt_an_old_version_refused_an_added_route failed before (404) and passes; it also asks for 404 on a route that never was, once the store is back. Two tests of the decision in test/members.cpp.

--- a/apps/router/request_engine.cpp
+++ b/apps/router/request_engine.cpp
@@ -8,9 +8,11 @@
                                const platform_language& language,
                                const router_settings& settings,
                                router_metrics& metrics, router_log& log,
+                               std::function<bool()> knows_newest,
                                random_engine random)
     : loop_(loop), known_(known), language_(language), metrics_(metrics),
-      log_(log), random_(random), connections_(loop, known, language),
+      log_(log), knows_newest_(std::move(knows_newest)), random_(random),
+      connections_(loop, known, language),
       probes_(loop, known, language, connections_, metrics, log,
               [this](std::uint64_t waiter, const target_id& target) {
                   on_measured(waiter, target);
@@ -48,7 +50,8 @@
     incoming_request request;
     request.message = std::move(message);
     request.arrived = loop_.now();
-    const auto refused = run_filters(request, {known_, language_, make_up_id_});
+    const auto refused =
+        run_filters(request, {known_, language_, make_up_id_, knows_newest_});
     if (refused) {
         refuse(*exchange, *refused, request);
         return;
--- a/apps/router/request_engine.hpp
+++ b/apps/router/request_engine.hpp
@@ -15,7 +15,8 @@
     request_engine(io::event_loop& loop, knowledge& known,
                    const platform_language& language,
                    const router_settings& settings, router_metrics& metrics,
-                   router_log& log, random_engine random);
+                   router_log& log, std::function<bool()> knows_newest,
+                   random_engine random);
 
     /// Requests with a booking key are claimed there from now on.
     void set_claims(booking_claims& claims);
@@ -48,6 +49,7 @@
     const platform_language& language_;
     router_metrics& metrics_;
     router_log& log_;
+    std::function<bool()> knows_newest_;
     random_engine random_;
     target_connections connections_;
     prober probes_;
--- a/apps/router/request_filters.cpp
+++ b/apps/router/request_filters.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// A router without a configuration has one within about a second.
+/// A router without a configuration, or with an old one, has the one in force
+/// within about a second.
 constexpr duration retry_after_unconfigured = std::chrono::milliseconds(500);
 constexpr std::int64_t longest_deadline_ms = 3'600'000;
 constexpr std::string_view key_header = "Idempotency-Key";
@@ -24,6 +25,13 @@
     return result;
 }
 
+problem unconfigured(std::string_view detail)
+{
+    auto result = refusal(status_unavailable, "configuration", detail);
+    result.retry_after = retry_after_unconfigured;
+    return result;
+}
+
 } // namespace
 
 std::optional<problem>
@@ -47,10 +55,7 @@
 {
     if (context.known.is_configured())
         return std::nullopt;
-    auto result = refusal(status_unavailable, "configuration",
-                          "no configuration is known yet");
-    result.retry_after = retry_after_unconfigured;
-    return result;
+    return unconfigured("no configuration is known yet");
 }
 
 std::optional<problem>
@@ -62,6 +67,9 @@
     if (!host)
         return refusal(status_bad_request, "route", "no Host header");
     const auto* rule = context.known.routes().find(*host, message.target);
+    if (!rule && !context.knows_newest())
+        return unconfigured("no route matches, and a newer configuration may "
+                            "be in force");
     if (!rule)
         return refusal(status_not_found, "route", "no route matches");
     request.rule = *rule;
--- a/apps/router/request_filters.hpp
+++ b/apps/router/request_filters.hpp
@@ -28,6 +28,8 @@
     const knowledge& known;
     const platform_language& language;
     const std::function<std::string()>& make_up_id;
+    /// Whether no newer configuration can be in force.
+    const std::function<bool()>& knows_newest;
 };
 
 /// Gives the request an id when the caller gave none.
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -170,6 +170,14 @@
     known_.members.on_listed(read_member(document), loop_.now());
 }
 
+bool state_controller::knows_newest()
+{
+    const bool reads_store = following_ && access() == store_access::works;
+    freshness_.update(operators_.state.revision(), reads_store,
+                      known_.members.live_peers(loop_.now()));
+    return freshness_.is_fresh();
+}
+
 void state_controller::merge(shared_table which,
                              const state_difference& difference,
                              std::string_view peer)
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state_controller.hpp
@@ -64,6 +64,10 @@
     /// \throws error  when it cannot be read, or cannot be reached as it says
     void add_member(const nlohmann::json& document);
 
+    /// Whether no newer configuration can be in force, as far as anybody who
+    /// is heard knows.
+    bool knows_newest();
+
     /// Reads the list of members that an instance left in the store.
     void read_members();
 
@@ -128,6 +132,7 @@
     std::shared_ptr<bool> alive_; ///< false once destroyed; held by callbacks
     bool following_ = false;
     bool works_ = false;
+    freshness freshness_;
     std::optional<time_point> tried_at_;
 };
 
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -197,6 +197,45 @@
     EXPECT_TRUE(alone.follows({}, start + 700ms));
 }
 
+known_member peer_at(std::uint64_t operators, bool following,
+                     store_access store)
+{
+    auto made = live_peer("m0", following);
+    made.heartbeat.store = store;
+    made.heartbeat.revisions.operators = operators;
+    return made;
+}
+
+// An old configuration went from one starting instance to the next.
+TEST(Freshness, WhoLearntFromAPeerLeftBehindTookItForTheNewest)
+{
+    freshness known;
+    known.update(4, false, std::vector{peer_at(4, false, {})});
+    EXPECT_FALSE(known.is_fresh());
+    const auto untried = store_access::untried;
+    known.update(4, false, std::vector{peer_at(4, true, untried)});
+    EXPECT_FALSE(known.is_fresh()) << "that reader has not read yet";
+    const auto works = store_access::works;
+    known.update(4, false, std::vector{peer_at(7, true, works)});
+    EXPECT_FALSE(known.is_fresh());
+    known.update(7, false, std::vector{peer_at(7, true, works)});
+    EXPECT_TRUE(known.is_fresh());
+}
+
+TEST(Freshness, LastsThroughAnOutageUnlessAPeerKnowsMore)
+{
+    freshness known;
+    known.update(4, true, {});
+    EXPECT_TRUE(known.is_fresh());
+    const auto lost = store_access::lost;
+    known.update(4, false, std::vector{peer_at(4, true, lost)});
+    EXPECT_TRUE(known.is_fresh());
+    known.update(4, false, std::vector{peer_at(5, true, lost)});
+    EXPECT_FALSE(known.is_fresh());
+    known.update(5, false, std::vector{peer_at(5, true, lost)});
+    EXPECT_TRUE(known.is_fresh());
+}
+
 TEST(ReaderChoice, WhoCannotBeToldByPeersFollowsItself)
 {
     std::vector<known_member> live;
--- a/test/platform/test_incidents.py
+++ b/test/platform/test_incidents.py
@@ -6,7 +6,8 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 
-from fleet import Fleet, Route  # noqa: E402
+import wire  # noqa: E402
+from fleet import LOOKUP, Fleet, Route  # noqa: E402
 
 CONFIG_BOUND_S = 2.0  # from the acknowledgement of a version
 NO_UTF8 = b"\xc1\xbf\x80 written by somebody else"
@@ -78,6 +79,45 @@
     play(judge, NO_UTF8)
 
 
+async def status_of(router, path, name):
+    """What that router answers to a request on that path."""
+    ip, _, port = router.front.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(wire.format_message(
+        f"GET {path} HTTP/1.1",
+        [("Host", LOOKUP.host), ("X-Vanillapost-Attempt-Id", name),
+         ("X-Vanillapost-Deadline-Ms", 2000)], length=False))
+    answer = await wire.read_message(reader, answer=True)
+    writer.close()
+    return answer.status
+
+
+def test_a_router_that_learnt_an_old_version_refused_an_added_route():
+    async def scenario():
+        async with Fleet(routers=2) as fleet:
+            await fleet.wait_ready()
+            old, starting = fleet.routers
+            # Nobody can read what the operators write, and one starts again.
+            fleet.store.mode = "busy"
+            fleet.store.reset_connections()
+            fleet.routes.append(
+                Route("added", "shop.example", "/added/", "stock"))
+            await fleet.write_config()
+            starting.process.kill()
+            starting.process.wait()
+            starting.start()
+            await starting.wait_ready()
+            assert await starting.metric(VERSION) == await old.metric(VERSION)
+            assert await status_of(starting, "/added/1", "first") == 503
+            fleet.store.mode = "ok"
+            await asyncio.sleep(CONFIG_BOUND_S)
+            fleet.truth.ask("second", "stock", True)
+            assert await status_of(starting, "/added/2", "second") == 200
+            assert await status_of(starting, "/never/1", "third") == 404
+
+    asyncio.run(scenario())
+
+
 def test_a_router_that_could_not_read_the_members_stayed_alone():
     async def scenario():
         async with Fleet(routers=2) as fleet:
