Let one unreadable row of the store spoil only itself

What operators saw: `store_lost` with "bad_answer" over and over, and no change of that table at any router, for as long as one row stood in the store that could not be read: without a value, with a null, with bytes for a key, or with a revision of another type. The whole answer was refused and asked for again.

Worse, what other programs write could also pass: a revision of -1 was taken as 2^64-1, after which every later change looked old; a fraction or 1e300 was cut off; a value that is no base64 was read up to its first other character; an answer was collected without a bound, and one that nests 200,000 lists ended the process, as the library copies values recursively.

Now an answer is read into rows and a list of what is spoilt. A spoilt row whose key can be read stays as a row without a value, which replaces what was known under that key and names nothing; one without a key is left out. Each is logged as `row_spoilt`; those without a key are counted there, the others where the row is read. An answer is refused as a whole only if there is no revision to go on from, or no key to go on from although more rows follow: that page was asked for again without a pause.

Ruled out: the follower. It starts again with the same question because the answer is said to be bad; with the rows told apart it needs no change.

--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -63,6 +63,10 @@
 {
     loop.on_failure(
         [this](const io::callback_failure& failure) { note_failure(failure); });
+    platform.store->on_spoilt(
+        [this](std::string_view table, const spoilt_row& row) {
+            note_spoilt(table, row);
+        });
     if (!platform.table)
         return;
     claims_ = std::make_unique<booking_claims>(loop, *platform.table, known_,
@@ -79,6 +83,18 @@
                 {"reason", std::string(failure.what)}});
 }
 
+// With a key it goes on as a row without a value, and is counted where that
+// is read.
+void router_server::note_spoilt(std::string_view table, const spoilt_row& row)
+{
+    if (row.key.empty())
+        metrics_.count_unreadable_row(table);
+    log_.request(io::log_level::warning, "row_spoilt",
+                 {{"table", std::string(table)},
+                  {"key", row.key},
+                  {"reason", row.reason}});
+}
+
 void router_server::take(std::unique_ptr<io::caller_exchange> exchange)
 {
     auto message = exchange->take_request();
--- a/apps/router/router_server.hpp
+++ b/apps/router/router_server.hpp
@@ -36,6 +36,7 @@
 private:
     void take(std::unique_ptr<io::caller_exchange> exchange);
     void note_failure(const io::callback_failure& failure);
+    void note_spoilt(std::string_view table, const spoilt_row& row);
     void check();
     void check_leaving(time_point now);
     void update_metrics(time_point now);
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -17,7 +17,9 @@
 endforeach()
 
 # The adapter to the users' platform, and parts of the router.
-target_link_libraries(test_platform_decode PRIVATE vanillapost_platform)
+foreach(name platform_decode store_client)
+  target_link_libraries(test_${name} PRIVATE vanillapost_platform)
+endforeach()
 foreach(part router_settings state_table)
   target_sources(test_${part} PRIVATE apps/router/${part}.cpp)
   target_include_directories(test_${part} PRIVATE apps/router)
--- a/include/vanillapost/src/io/row_store.hpp
+++ b/include/vanillapost/src/io/row_store.hpp
@@ -2,11 +2,13 @@
 #define VANILLAPOST_SRC_IO_ROW_STORE_HPP
 
 #include "../base/time.hpp"
+#include "../table/spoilt_row.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -53,6 +55,8 @@
 {
 public:
     using handler = std::function<void(store_result)>;
+    using spoilt_handler =
+        std::function<void(std::string_view table, const spoilt_row&)>;
 
     virtual ~row_store() = default;
 
@@ -66,6 +70,24 @@
 
     virtual void put(std::string_view table, std::string_view key,
                      std::string_view value, handler done) = 0;
+
+    /// Calls `handler` for each row that cannot be read. If its key can, the
+    /// row is in the answer, too, with an empty value; otherwise it is left
+    /// out.
+    void on_spoilt(spoilt_handler handler)
+    {
+        spoilt_ = std::move(handler);
+    }
+
+protected:
+    void report_spoilt(std::string_view table, const spoilt_row& row) const
+    {
+        if (spoilt_)
+            spoilt_(table, row);
+    }
+
+private:
+    spoilt_handler spoilt_;
 };
 
 } // namespace vanillapost::io
--- /dev/null
+++ b/test/store_client.cpp
@@ -0,0 +1,180 @@
+#include "../platform/store_client.hpp"
+#include "io_support.hpp"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace {
+
+using namespace vanillapost;
+using namespace vanillapost::io;
+using namespace vanillapost::io::test;
+using nlohmann::json;
+
+/// A store that gives one answer.
+struct fake_store
+{
+    event_loop loop;
+    std::string body;
+    std::vector<spoilt_row> spoilt;
+    http_server server{loop, {}, [this](std::unique_ptr<server_exchange> e) {
+                           e->reply(200, {}, body);
+                       }};
+    platform::store_client client{loop, server.listen(any_port)};
+
+    fake_store()
+    {
+        client.on_spoilt([this](std::string_view, const spoilt_row& row) {
+            spoilt.push_back(row);
+        });
+    }
+
+    store_result follow(std::string answer)
+    {
+        body = std::move(answer);
+        std::optional<store_result> got;
+        client.follow("servers", 3, 100ms,
+                      [&](store_result result) { got = std::move(result); });
+        run_until(loop, [&] { return got.has_value(); });
+        return std::move(*got);
+    }
+
+    store_result read_from(std::string_view first_key, std::string answer)
+    {
+        body = std::move(answer);
+        std::optional<store_result> got;
+        client.read("servers", first_key,
+                    [&](store_result result) { got = std::move(result); });
+        run_until(loop, [&] { return got.has_value(); });
+        return std::move(*got);
+    }
+};
+
+/// An answer at revision 9 with a good row after the given one.
+std::string answer_with(const std::string& row)
+{
+    return R"({"revision":9,"now":1,"rows":[)" + row +
+           R"(,{"key":"good","revision":8,"value":"eA=="}]})";
+}
+
+// One row that could not be read held up all rows, for as long as it stood.
+TEST(StoreClient, ASpoiltRowLeavesTheOthersOfItsAnswer)
+{
+    for (const std::string row :
+         {R"({"key":"bad","revision":7})",
+          R"({"key":"bad","revision":7,"value":null})",
+          R"({"key":"bad","revision":7,"value":5})",
+          R"({"key":"bad","revision":7,"value":"!!"})",
+          R"({"key":"bad","revision":7,"value":"e"})",
+          R"({"key":"bad","revision":-1,"value":"eA=="})",
+          R"({"key":"bad","revision":1e300,"value":"eA=="})",
+          R"({"key":"bad","revision":10,"value":"eA=="})",
+          R"({"key":"bad","revision":0,"value":"eA=="})",
+          R"({"key":"bad","revision":7,"deleted":"no","value":"eA=="})",
+          R"({"key":"bad","value":"eA=="})"}) {
+        fake_store store;
+        const auto result = store.follow(answer_with(row));
+        ASSERT_TRUE(std::holds_alternative<store_rows>(result)) << row;
+        const auto& rows = std::get<store_rows>(result).rows;
+        ASSERT_EQ(rows.size(), 2u) << row;
+        EXPECT_EQ(rows[0].key, "bad");
+        EXPECT_EQ(rows[0].value, "") << row;
+        EXPECT_FALSE(rows[0].removed);
+        EXPECT_TRUE(rows[0].revision == 7 || rows[0].revision == 9) << row;
+        EXPECT_EQ(rows[1].value, "x") << row;
+        ASSERT_EQ(store.spoilt.size(), 1u) << row;
+        EXPECT_EQ(store.spoilt[0].key, "bad") << row;
+    }
+}
+
+TEST(StoreClient, ARowWithoutAUsableKeyIsLeftOut)
+{
+    for (const auto& row :
+         {std::string(R"({"revision":7,"value":"eA=="})"),
+          std::string(R"({"key":5,"revision":7,"value":"eA=="})"),
+          std::string(R"({"key":"","revision":7,"value":"eA=="})"),
+          std::string(R"({"key":"a\r\nb","revision":7,"value":"eA=="})"),
+          std::string(R"({"key":"\ud800","revision":7,"value":"eA=="})"),
+          std::string("{\"key\":\"\xc1\",\"revision\":7,\"value\":\"eA==\"}"),
+          R"({"key":")" + std::string(201, 'k') +
+              R"(","revision":7,"value":"eA=="})",
+          std::string("[]"), std::string("null"), std::string("7")}) {
+        fake_store store;
+        const auto result = store.follow(answer_with(row));
+        ASSERT_TRUE(std::holds_alternative<store_rows>(result)) << row;
+        const auto& rows = std::get<store_rows>(result).rows;
+        ASSERT_EQ(rows.size(), 1u) << row;
+        EXPECT_EQ(rows[0].key, "good");
+        ASSERT_EQ(store.spoilt.size(), 1u) << row;
+        EXPECT_EQ(store.spoilt[0].key, "") << row;
+    }
+}
+
+TEST(StoreClient, GoodRowsAreReadAsTheyAre)
+{
+    fake_store store;
+    const auto result = store.follow(
+        R"({"revision":9,"hasMore":false,"rows":[
+            {"table":"servers","part":"","key":"k","revision":7,
+             "value":"AP/B","future":{"a":[1]}},
+            {"key":"gone","revision":9,"deleted":true},
+            {"key":"\ud83d\ude00","revision":9,"value":""}]})");
+    const auto& rows = std::get<store_rows>(result).rows;
+    ASSERT_EQ(rows.size(), 3u);
+    EXPECT_EQ(rows[0].value, std::string("\0\xff\xc1", 3));
+    EXPECT_TRUE(rows[1].removed);
+    EXPECT_EQ(rows[2].key, "\xf0\x9f\x98\x80");
+    EXPECT_TRUE(store.spoilt.empty());
+}
+
+// Revision -1 became the highest of all, which hid every later change.
+TEST(StoreClient, AnAnswerWithoutARevisionToGoOnFromIsRefused)
+{
+    for (const std::string text :
+         {"", "[]", R"({"rows":[]})", R"({"revision":-1,"rows":[]})",
+          R"({"revision":1e300,"rows":[]})", R"({"revision":"9","rows":[]})",
+          R"({"revision":18446744073709551615,"rows":[]})",
+          R"({"revision":9,"rows":{}})"}) {
+        fake_store store;
+        const auto result = store.follow(text);
+        const auto* failure = std::get_if<store_failure>(&result);
+        ASSERT_NE(failure, nullptr) << text;
+        EXPECT_EQ(failure->kind, store_failure_kind::bad_answer);
+    }
+}
+
+TEST(StoreClient, DeepNestingIsRefusedWithoutRecursion)
+{
+    constexpr std::size_t depth = 200'000;
+    const auto deep = R"({"revision":9,"rows":[)" + std::string(depth, '[') +
+                      std::string(depth, ']') + "]}";
+    fake_store store;
+    const auto result = store.follow(deep);
+    EXPECT_TRUE(std::holds_alternative<store_failure>(result));
+}
+
+// It would have been collected without an end.
+TEST(StoreClient, AnAnswerThatIsTooLongIsRefused)
+{
+    fake_store store;
+    const auto result =
+        store.follow(R"({"revision":9,"rows":[],"x":")" +
+                     std::string(std::size_t{17} * 1024 * 1024, 'x') + "\"}");
+    EXPECT_TRUE(std::holds_alternative<store_failure>(result));
+}
+
+// The same page was asked for again and again, without a pause.
+TEST(StoreClient, APageThatNamesNoLaterKeyIsRefused)
+{
+    const std::string page = R"({"revision":9,"hasMore":true,"rows":[)";
+    const std::string row = R"({"key":"b","revision":8,"value":"eA=="})";
+    fake_store store;
+    EXPECT_TRUE(std::holds_alternative<store_failure>(
+        store.read_from("a", page + "]}")));
+    EXPECT_TRUE(std::holds_alternative<store_failure>(
+        store.read_from("c", page + row + "]}")));
+    const auto good = store.read_from("b", page + row + "]}");
+    EXPECT_TRUE(std::get<store_rows>(good).more);
+}
+
+} // namespace
