Refuse a datagram whose texts nest until the stack ends

What would be seen: one datagram of 65,000 bytes 0x7f behind the beginning of a map, from anybody who reaches the peers' port, ends a router with a segmentation fault, without a line in its log. No catch helps.

Cause: texts and byte strings of CBOR may come in pieces, and the library reads a piece that comes in pieces itself by recursion, one level for each byte. The check of depth counts maps and lists only, and it runs after such a text is read.

Ruled out: nesting of lists and maps (bounded by the check before, in a test that stands), tags (refused).

Change: messages are at most 8 KiB long. Routers send 1,200 bytes, and a hello of some 600. The check for UTF-8 no longer writes JSON to see whether that throws.

--- a/include/vanillapost/src/io/detail/cbor.hpp
+++ b/include/vanillapost/src/io/detail/cbor.hpp
@@ -7,6 +7,10 @@
 
 namespace vanillapost::io::detail {
 
+/// Longest message. The library reads the pieces of a text within each other,
+/// so that the depth of its stack is bounded by this alone.
+constexpr std::size_t max_message_bytes = 8 * 1024;
+
 /// Deepest nesting of a message between entries.
 constexpr std::size_t max_message_depth = 16;
 
--- a/src/io/cbor.cpp
+++ b/src/io/cbor.cpp
@@ -1,8 +1,7 @@
 #include "vanillapost/src/io/detail/cbor.hpp"
 
 #include "vanillapost/src/base/error.hpp"
-
-#include <algorithm>
+#include "vanillapost/src/base/text_check.hpp"
 
 namespace vanillapost::io::detail {
 
@@ -12,20 +11,6 @@
 
 constexpr std::string_view step = "decode message";
 
-bool is_utf8(const std::string& text)
-{
-    bool ascii = std::ranges::all_of(
-        text, [](char c) { return static_cast<signed char>(c) >= 0; });
-    if (ascii)
-        return true;
-    try {
-        json(text).dump();
-        return true;
-    } catch (const json::exception&) {
-        return false;
-    }
-}
-
 /// Refuses what the library would take: nesting that overflows its stack and
 /// texts that cannot be written as JSON later on.
 class message_check : public json::json_sax_t
@@ -107,6 +92,8 @@
 
 json parse_message(std::string_view bytes)
 {
+    if (bytes.size() > max_message_bytes)
+        throw error(step, "", "too long");
     message_check check;
     if (!json::sax_parse(bytes, &check, json::input_format_t::cbor))
         throw error(step, "", "malformed, nested too deep or not UTF-8");
--- a/test/io_decoders.cpp
+++ b/test/io_decoders.cpp
@@ -121,6 +121,15 @@
     EXPECT_NO_THROW(detail::parse_message("\xa1\x61t\x62\xc3\xa9"));
 }
 
+// The library reads pieces of a text within each other.
+TEST(Decoder, PiecesWithinPiecesOfATextAreBounded)
+{
+    for (const char opener : {'\x7f', '\x5f'}) {
+        const auto bytes = "\xa1\x61\x61" + std::string(65'000, opener);
+        EXPECT_THROW(detail::parse_message(bytes), error);
+    }
+}
+
 template <class Decode>
 void fuzz_json(const std::string& good, Decode decode)
 {
