Let one unreadable row of the product's table spoil only itself

What operators would see on the product's own interface: no change of the records at any router, as long as one row has a value that is no text or a revision that is none; and, if the table answers with a key that does not begin with the table's name, a router that ends: `substr` throws out_of_range, which nothing on the way catches as it is no `error`.

A row that cannot be read stays with its key and an empty value, which no decoder takes for a record; rows of another table are left out; both are reported.

Ruled out: conflicts and single rows, which are asked for by key and are refused as before.

Evidence: on the code before, PlatformClient.RowsOfAnotherTableAreLeftOut ends with "basic_string::substr: __pos (which is 6) > this->size() (which is 1)", and Decoder.ASpoiltRowLeavesTheOthersOfItsAnswer fails at its first row. Both pass now.

--- a/include/vanillapost/src/io/table_rows.hpp
+++ b/include/vanillapost/src/io/table_rows.hpp
@@ -32,6 +32,8 @@
 private:
     struct delayed;
 
+    void report(const platform_result<table_changes>& answer,
+                const std::string& prefix) const;
     void answer_later(duration wait, store_result result, handler done);
     void write(std::string key, std::uint64_t expected, std::string value,
                handler done);
--- a/include/vanillapost/src/table/table.hpp
+++ b/include/vanillapost/src/table/table.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_SRC_TABLE_TABLE_HPP
 
 #include "../records/record.hpp"
+#include "spoilt_row.hpp"
 
 #include <optional>
 #include <string>
@@ -47,6 +48,9 @@
 {
     revision latest = 0; ///< ask for changes since this next time
     std::vector<table_row> rows;
+    /// Rows that cannot be read. Those with a key are among `rows`, too, with
+    /// an empty value.
+    std::vector<spoilt_row> spoilt = {};
 };
 
 struct transaction_done
--- a/src/io/platform_codec.cpp
+++ b/src/io/platform_codec.cpp
@@ -1,6 +1,7 @@
 #include "vanillapost/src/io/detail/platform_codec.hpp"
 
 #include "vanillapost/src/base/error.hpp"
+#include "vanillapost/src/base/text_check.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -10,6 +11,8 @@
 
 using nlohmann::json;
 
+constexpr std::size_t max_key_bytes = 512;
+
 /// Calls `read` with the parsed body; any failure becomes an `error`.
 template <class Read>
 auto decode(std::string_view body, std::string_view what, Read read)
@@ -64,6 +67,48 @@
     return rows;
 }
 
+/// The key of a row of which something else cannot be read; empty when it
+/// cannot be read either.
+std::string read_spoilt_key(const json& row)
+{
+    if (!row.is_object())
+        return "";
+    const auto found = row.find("key");
+    if (found == row.end() || !found->is_string())
+        return "";
+    const auto& text = found->get_ref<const std::string&>();
+    return is_name_text(text, max_key_bytes) ? text : "";
+}
+
+table_row read_listed_row(const json& object, revision latest)
+{
+    auto row = read_row(object);
+    if (!is_name_text(row.key, max_key_bytes))
+        throw error("decode platform answer", "key",
+                    "expected a text without control characters");
+    if (row.at == 0 || row.at > latest)
+        throw error("decode platform answer", "revision",
+                    "expected one up to the latest");
+    return row;
+}
+
+// One row that cannot be read leaves the others as they are: it would be in
+// every answer to come.
+void take_row(const json& object, table_changes& into)
+{
+    std::string reason;
+    try {
+        into.rows.push_back(read_listed_row(object, into.latest));
+        return;
+    } catch (const std::exception& failure) {
+        reason = failure.what();
+    }
+    auto key = read_spoilt_key(object);
+    if (!key.empty())
+        into.rows.push_back({key, into.latest, "", ""});
+    into.spoilt.push_back({std::move(key), std::move(reason)});
+}
+
 const char* action_name(table_operation::action what)
 {
     switch (what) {
@@ -96,8 +141,14 @@
 table_changes parse_changes(std::string_view body)
 {
     return decode(body, "changes", [](const json& object) {
-        return table_changes{read_number(object, "latest"),
-                             read_rows(object.at("rows"))};
+        table_changes result;
+        result.latest = read_number(object, "latest");
+        const auto& rows = object.at("rows");
+        if (!rows.is_array())
+            throw error("decode platform answer", "rows", "expected an array");
+        for (const auto& row : rows)
+            take_row(row, result);
+        return result;
     });
 }
 
--- a/src/io/table_rows.cpp
+++ b/src/io/table_rows.cpp
@@ -26,9 +26,10 @@
     store_rows result;
     result.revision = changes.latest;
     for (const auto& row : changes.rows)
-        result.rows.push_back({row.key.substr(prefix.size()),
-                               row.value.value_or(""), row.at,
-                               !row.value.has_value()});
+        if (row.key.starts_with(prefix))
+            result.rows.push_back({row.key.substr(prefix.size()),
+                                   row.value.value_or(""), row.at,
+                                   !row.value.has_value()});
     return result;
 }
 
@@ -40,6 +41,23 @@
     return to_rows(std::get<table_changes>(answer), prefix);
 }
 
+/// What cannot be read among the changes, with keys as in the table.
+std::vector<spoilt_row> spoilt_rows(const platform_result<table_changes>& from,
+                                    const std::string& prefix)
+{
+    const auto* changes = std::get_if<table_changes>(&from);
+    if (!changes)
+        return {};
+    auto result = changes->spoilt;
+    for (auto& each : result)
+        if (each.key.starts_with(prefix))
+            each.key.erase(0, prefix.size());
+    for (const auto& row : changes->rows)
+        if (!row.key.starts_with(prefix))
+            result.push_back({"", "a row of another table: " + row.key});
+    return result;
+}
+
 struct write_result
 {
     store_result operator()(const transaction_done& done) const
@@ -85,16 +103,20 @@
                       handler done)
 {
     const auto prefix = prefix_of(table);
-    client_.changes(
-        prefix, 0,
-        [prefix, first = std::string(first_key), done](const auto& answer) {
-            auto result = to_result(answer, prefix);
-            if (auto* rows = std::get_if<store_rows>(&result))
-                std::erase_if(rows->rows, [&](const store_row& row) {
-                    return row.removed || row.key < first;
-                });
-            done(std::move(result));
-        });
+    client_.changes(prefix, 0,
+                    [this, alive = alive_, prefix,
+                     first = std::string(first_key), done](const auto& answer) {
+                        if (!*alive)
+                            return;
+                        report(answer, prefix);
+                        auto result = to_result(answer, prefix);
+                        if (auto* rows = std::get_if<store_rows>(&result))
+                            std::erase_if(
+                                rows->rows, [&](const store_row& row) {
+                                    return row.removed || row.key < first;
+                                });
+                        done(std::move(result));
+                    });
 }
 
 void table_rows::follow(std::string_view table, std::uint64_t after,
@@ -107,6 +129,7 @@
         [this, alive = alive_, prefix, wait, done](const auto& answer) {
             if (!*alive)
                 return;
+            report(answer, prefix);
             auto result = to_result(answer, prefix);
             const auto* rows = std::get_if<store_rows>(&result);
             if (rows && rows->rows.empty())
@@ -116,6 +139,14 @@
         });
 }
 
+void table_rows::report(const platform_result<table_changes>& answer,
+                        const std::string& prefix) const
+{
+    for (const auto& each : spoilt_rows(answer, prefix))
+        report_spoilt(std::string_view(prefix).substr(0, prefix.size() - 1),
+                      each);
+}
+
 void table_rows::answer_later(duration wait, store_result result, handler done)
 {
     const auto id = next_delayed_++;
--- a/test/io_decoders.cpp
+++ b/test/io_decoders.cpp
@@ -130,6 +130,34 @@
     }
 }
 
+// One row that cannot be read held up all rows, for as long as it stood.
+TEST(Decoder, ASpoiltRowLeavesTheOthersOfItsAnswer)
+{
+    for (const std::string row :
+         {R"({"key":"p/bad","revision":7,"value":5})",
+          R"({"key":"p/bad","revision":-1,"value":"v"})",
+          R"({"key":"p/bad","revision":1e300,"value":"v"})",
+          R"({"key":"p/bad","revision":10,"value":"v"})",
+          R"({"key":"p/bad","value":"v"})"}) {
+        const auto changes = detail::parse_changes(
+            R"({"latest":9,"rows":[)" + row +
+            R"(,{"key":"p/good","revision":8,"value":"v"}]})");
+        ASSERT_EQ(changes.rows.size(), 2u) << row;
+        EXPECT_EQ(changes.rows[0].key, "p/bad");
+        EXPECT_EQ(changes.rows[0].value, "") << row;
+        EXPECT_EQ(changes.rows[1].value, "v");
+        ASSERT_EQ(changes.spoilt.size(), 1u) << row;
+        EXPECT_EQ(changes.spoilt[0].key, "p/bad");
+    }
+    for (const std::string row : {R"({"revision":7,"value":"v"})", "7",
+                                  R"({"key":"a\nb","revision":7})"}) {
+        const auto changes =
+            detail::parse_changes(R"({"latest":9,"rows":[)" + row + "]}");
+        EXPECT_TRUE(changes.rows.empty()) << row;
+        EXPECT_EQ(changes.spoilt.size(), 1u) << row;
+    }
+}
+
 template <class Decode>
 void fuzz_json(const std::string& good, Decode decode)
 {
--- a/test/platform_client.cpp
+++ b/test/platform_client.cpp
@@ -1,4 +1,5 @@
 #include "io_support.hpp"
+#include "vanillapost/src/io/table_rows.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -135,6 +136,26 @@
     EXPECT_FALSE(may_have_run(p.transact())) << "refused";
 }
 
+// A key shorter than the table's prefix threw out_of_range into the loop.
+TEST(PlatformClient, RowsOfAnotherTableAreLeftOut)
+{
+    fake_platform p;
+    p.body = R"({"latest":9,"rows":[{"key":"k","revision":7,"value":"v"},
+        {"key":"table/a","revision":8,"value":"w"}]})";
+    table_rows rows(p.loop, p.client, "w");
+    std::vector<spoilt_row> spoilt;
+    rows.on_spoilt([&](std::string_view table, const spoilt_row& row) {
+        EXPECT_EQ(table, "table");
+        spoilt.push_back(row);
+    });
+    const auto got = p.await<store_result>(
+        [&](auto done) { rows.follow("table", 3, 1s, done); });
+    const auto& found = std::get<store_rows>(got).rows;
+    ASSERT_EQ(found.size(), 1u);
+    EXPECT_EQ(found[0].key, "a");
+    EXPECT_EQ(spoilt.size(), 1u);
+}
+
 TEST(PlatformClient, DestroyingItDropsCalls)
 {
     event_loop loop;
