Take no number or text of a row that makes no sense

What would be seen: a target listed with 2^40 slots had 0 of them or any other number, one with `true` had one; a start (`born`) in a far future kept out all true reports of that target; a configuration of version 2^64-1 stayed in force for good, one whose `listeners` are null took all routes away; a health path with a line break in it wrote headers of its own into each probe, and so did a target's id into each request; a load report of -5 requests drew everything to its target, and two figures near 2^31 overflowed when they were added; the largest number of milliseconds wrapped around to the past. Rows without any bound in bytes or depth were parsed: a copy of a deep one overflows the stack.

Cause: the library's conversions take any number, fraction or boolean for any number type without a look at its range, iterate over what is no list, and leave all else to whoever uses the value.

What legitimate writers may send is still read: rows without `born` or `warmupLeft`, other fields, a field that stands twice (the last counts).

--- a/test/platform_decode.cpp
+++ b/test/platform_decode.cpp
@@ -1,7 +1,9 @@
 #include "../platform/decode.hpp"
 #include "vanillapost/base.hpp"
 
+#include <cstdint>
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck/gtest.h>
 
 using namespace vanillapost;
@@ -83,11 +85,135 @@
     EXPECT_THROW(decode_target("i", "[]"), error);
 }
 
+nlohmann::json changed(const std::string& text, const std::string& path,
+                       const nlohmann::json& value)
+{
+    auto document = nlohmann::json::parse(text);
+    document[nlohmann::json::json_pointer(path)] = value;
+    return document;
+}
+
+// They were cut off to any number, or taken as 1 or 0.
+TEST(PlatformDecode, ATargetsNumbersMustMakeSense)
+{
+    constexpr auto largest = std::numeric_limits<std::uint64_t>::max();
+    const std::vector<std::pair<std::string, std::vector<nlohmann::json>>> bad =
+        {{"/info/maxConcurrency",
+          {0, -1, 1.5, 2.0, 1e300, true, std::int64_t{1} << 40, largest,
+           100'001, nullptr, "2"}},
+         {"/status/sequence", {-1, 1.5, 1e300, true, largest, nullptr, "4"}},
+         {"/born",
+          {-1, 1.5, 1e300, true, largest, std::int64_t{1} << 62, nullptr,
+           "17"}}};
+    for (const auto& [path, values] : bad)
+        for (const auto& value : values)
+            EXPECT_THROW(
+                decode_target("i", changed(target_text, path, value).dump()),
+                error)
+                << path << ' ' << value;
+}
+
+TEST(PlatformDecode, ATargetsTextsMustBeUsable)
+{
+    const std::vector<std::pair<std::string, std::vector<nlohmann::json>>> bad =
+        {{"/address",
+          {"10.0.0.1:0", "0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80",
+           "[::]:80", "10.0.0.1:80\r\n"}},
+         {"/info/service", {"", "a\r\nb", std::string(201, 's')}},
+         {"/info/zone", {"", "a\nb", std::string(201, 'z')}},
+         {"/status/warmupLeft", {"", "-1s", "1e9s", "nans", 250}},
+         {"/status/state", {"", "READY", "ready\n"}}};
+    for (const auto& [path, values] : bad)
+        for (const auto& value : values)
+            EXPECT_THROW(
+                decode_target("i", changed(target_text, path, value).dump()),
+                error)
+                << path << ' ' << value;
+}
+
+// The id went into a header of each request to the target.
+TEST(PlatformDecode, AnIdThatBreaksAHeaderNamesNoTarget)
+{
+    for (const auto* id : {"", "i\r\nHost: x", "i 1", "i\t", "\xff"})
+        EXPECT_THROW(decode_target(id, target_text), error) << id;
+    EXPECT_THROW(decode_target(std::string(201, 'i'), target_text), error);
+}
+
+TEST(PlatformDecode, WhatLegitimateWritersMaySendIsRead)
+{
+    auto old = nlohmann::json::parse(target_text);
+    old.erase("born");
+    old["status"].erase("warmupLeft");
+    old["future"] = {{"a", {1, 2}}};
+    EXPECT_EQ(decode_target("i", old.dump()).born_ms, 0);
+    const auto born = changed(target_text, "/born", 1'796'368'000'123);
+    EXPECT_EQ(decode_target("i", born.dump()).born_ms, 1'796'368'000'123);
+    // The last of two fields of a name counts, as in most readers.
+    auto twice = target_text;
+    twice.insert(1, R"("born":99,)");
+    EXPECT_EQ(decode_target("i", twice).born_ms, 17);
+}
+
+TEST(PlatformDecode, RowsAreBoundedInDepthAndBytes)
+{
+    constexpr std::size_t depth = 200'000;
+    const auto deep =
+        R"({"info":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    EXPECT_THROW(decode_target("i", deep), error);
+    EXPECT_THROW(decode_configuration(deep), error);
+    const auto large = changed(target_text, "/x", std::string(70'000, 'x'));
+    EXPECT_THROW(decode_target("i", large.dump()), error);
+    const auto huge =
+        changed(config_text, "/x", std::string(std::size_t{5} << 20, 'x'));
+    EXPECT_THROW(decode_configuration(huge.dump()), error);
+}
+
+// Each was cut off, wrapped around or taken as none; a version beyond all
+// others stayed in force for good.
+TEST(PlatformDecode, AConfigurationsValuesMustMakeSense)
+{
+    const std::string rule = "/listeners/0/rules/0";
+    const std::vector<std::pair<std::string, std::vector<nlohmann::json>>> bad =
+        {{"/version",
+          {"r", "12", "r-1", "r1.5", "r18446744073709551615", 7, nullptr}},
+         {"/limits/maxHeaderBytes", {0, -1, 1e300, true, 1.5, "1"}},
+         {"/limits/maxBodyBytes", {-1, 1e300, true, 1.5, nullptr}},
+         {"/limits/idleTimeout", {"-1s", "soon", 15, nullptr}},
+         {"/listeners", {nullptr, "x", nlohmann::json::object()}},
+         {"/clusters", {nullptr, "x", 1}},
+         {"/listeners/0/host", {"", "a\r\nb", 1}},
+         {rule + "/name", {"", "a\nb", 1}},
+         {rule + "/match/prefix", {"/a b/", "/a\r\n/", "x/", ""}},
+         {rule + "/priority", {-1, 1e300, 1.5, true, "0"}},
+         {rule + "/action/attempts",
+          {-1, std::int64_t{1} << 40, 1e300, 1.5, true}},
+         {rule + "/action/timeout", {"1e300s", "-1s", 5}},
+         {rule + "/action/trafficSplit",
+          {nullptr, "s", nlohmann::json::object(), nlohmann::json::array()}},
+         {rule + "/action/trafficSplit/0/weight",
+          {-1, 1e300, true, nullptr, "90"}},
+         {rule + "/action/trafficSplit/0/service", {"", "s\r\n", 1}},
+         {"/clusters/0/healthPath",
+          {"", "h", "/h HTTP/1.1\r\nX: y\r\n", "/a b", 1}},
+         {"/clusters/0/maxConnections",
+          {-1, 1e300, 1.5, std::int64_t{1} << 40}},
+         {"/clusters/0/warmupPerS", {-1, 1e300, true, nullptr}}};
+    for (const auto& [path, values] : bad)
+        for (const auto& value : values)
+            EXPECT_THROW(
+                decode_configuration(changed(config_text, path, value).dump()),
+                error)
+                << path << ' ' << value;
+}
+
 TEST(PlatformDecode, LoadReports)
 {
     EXPECT_EQ(decode_load("3,1,8"), (load_report{3, 1, 8, 1}));
     EXPECT_EQ(decode_load("0,0,2,400"), (load_report{0, 0, 2, 4}));
-    for (const auto* bad : {"", "1", "1,2", "a,b,c", "1,2,", "1,2,3,x"})
+    // A target that says it has less than nothing to do would get everything.
+    for (const auto* bad :
+         {"", "1", "1,2", "a,b,c", "1,2,", "1,2,3,x", "-5,0,8", "0,-1,8",
+          "0,0,-8", "2147483647,2147483647,1", "0,0,8,-1", "1e1,0,8"})
         EXPECT_FALSE(decode_load(bad)) << bad;
 }
 
@@ -99,10 +225,19 @@
         EXPECT_THROW(decode_duration(bad), error) << bad;
 }
 
+// The largest wrapped around to a time before now.
+TEST(PlatformDecode, Milliseconds)
+{
+    EXPECT_EQ(decode_milliseconds("1500"), 1500ms);
+    for (const auto* bad : {"", "-1", "1.5", "9223372036854775807", "1s"})
+        EXPECT_FALSE(decode_milliseconds(bad)) << bad;
+}
+
 TEST(PlatformDecode, Evacuations)
 {
     EXPECT_EQ(decode_evacuation("evacuate/z"), data_centre_id{"z"});
-    EXPECT_FALSE(decode_evacuation("config"));
+    for (const auto* none : {"config", "evacuate/", "evacuate/a\r\nb"})
+        EXPECT_FALSE(decode_evacuation(none)) << none;
 }
 
 /// Whatever the bytes, a decoder returns or throws the project's error.
