Refuse members that callers could not be sent to

What callers would see: the directory names 0.0.0.0, port 0, a group's address or "nowhere" among the instances, for as long as such a member is taken to live. What routers would do on a heartbeat that names revision -1: take it for 2^64-1, feel behind, and ask that peer for state without an end.

Cause: members come from anybody's datagram, from peers' states and from a list in the store. Names and revisions were taken as they came; the address for peers was checked to be one, the address for callers was not.

Change: `parse_member` lets only names pass that a log can hold, and addresses that a connection can be made to; `parse_member_heartbeat` only whole numbers that are not negative. A member that is refused spoils only itself in the list of the store, as before.

--- a/src/members/member_codec.cpp
+++ b/src/members/member_codec.cpp
@@ -1,6 +1,7 @@
 #include "vanillapost/src/members/member_codec.hpp"
 
 #include "vanillapost/src/base/error.hpp"
+#include "vanillapost/src/base/text_check.hpp"
 
 namespace vanillapost {
 
@@ -10,6 +11,42 @@
 
 using nlohmann::json;
 
+std::string read_name(const json& document, const char* field)
+{
+    auto text = document.at(field).get<std::string>();
+    if (!is_name_text(text))
+        throw error(step, shortened(text),
+                    std::string(field) +
+                        ": expected 1 to 200 bytes without control characters");
+    return text;
+}
+
+// Callers and peers are told it without another look.
+std::string read_address(const json& document, const char* field)
+{
+    auto text = document.at(field).get<std::string>();
+    if (!is_connectable_address(text))
+        throw error(step, shortened(text),
+                    std::string(field) +
+                        ": expected an IP number and port to connect to");
+    return text;
+}
+
+// The library's conversion takes fractions too, and wraps negative numbers.
+std::uint64_t read_whole(const json& document, const char* field,
+                         std::uint64_t highest)
+{
+    const auto& value = document.at(field);
+    const bool whole = value.is_number_integer() && value >= 0;
+    if (!whole || value.get<std::uint64_t>() > highest)
+        throw error(step, field,
+                    "expected a whole number up to " + std::to_string(highest));
+    return value.get<std::uint64_t>();
+}
+
+/// Higher ones would keep a receiver asking for what nobody has.
+constexpr std::uint64_t max_revision = std::uint64_t{1} << 53;
+
 } // namespace
 
 json to_json(const member& who)
@@ -38,12 +75,12 @@
 {
     try {
         member who;
-        who.name.value = document.at("name").get<std::string>();
-        who.incarnation = document.at("incarnation").get<std::string>();
-        who.data_centre.value = document.at("data_centre").get<std::string>();
-        who.caller_address = document.at("caller_address").get<std::string>();
-        who.peer_address = document.at("peer_address").get<std::string>();
-        who.query_address = document.at("query_address").get<std::string>();
+        who.name.value = read_name(document, "name");
+        who.incarnation = read_name(document, "incarnation");
+        who.data_centre.value = read_name(document, "data_centre");
+        who.caller_address = read_address(document, "caller_address");
+        who.peer_address = read_address(document, "peer_address");
+        who.query_address = read_address(document, "query_address");
         return who;
     } catch (const json::exception& failure) {
         throw error(step, "", failure.what());
@@ -54,18 +91,15 @@
 {
     try {
         member_heartbeat heartbeat;
-        heartbeat.name.value = document.at("n").get<std::string>();
-        heartbeat.incarnation = document.at("i").get<std::string>();
+        heartbeat.name.value = read_name(document, "n");
+        heartbeat.incarnation = read_name(document, "i");
         heartbeat.ready = document.at("r").get<bool>();
         heartbeat.leaving = document.at("l").get<bool>();
         heartbeat.following = document.at("f").get<bool>();
-        const auto store = document.at("s").get<int>();
-        if (store < 0 || store > static_cast<int>(store_access::lost))
-            throw error(step, heartbeat.name.value,
-                        "unknown access to the store");
-        heartbeat.store = static_cast<store_access>(store);
-        heartbeat.revisions.operators = document.at("o").get<std::uint64_t>();
-        heartbeat.revisions.targets = document.at("t").get<std::uint64_t>();
+        heartbeat.store = static_cast<store_access>(read_whole(
+            document, "s", static_cast<std::uint64_t>(store_access::lost)));
+        heartbeat.revisions.operators = read_whole(document, "o", max_revision);
+        heartbeat.revisions.targets = read_whole(document, "t", max_revision);
         return heartbeat;
     } catch (const json::exception& failure) {
         throw error(step, "", failure.what());
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -98,6 +98,59 @@
     EXPECT_TRUE(read.ready && read.following && !read.leaving);
 }
 
+nlohmann::json good_member()
+{
+    return {{"name", "a"},
+            {"incarnation", "1"},
+            {"data_centre", "d1"},
+            {"caller_address", "10.0.0.1:80"},
+            {"peer_address", "10.0.0.1:81"},
+            {"query_address", "[::1]:82"}};
+}
+
+// The directory told callers whatever address a member was listed with.
+TEST(Members, AMemberThatCannotBeReachedIsRefused)
+{
+    EXPECT_EQ(to_json(parse_member(good_member())), good_member());
+    for (const auto* field :
+         {"caller_address", "peer_address", "query_address"})
+        for (const auto* text :
+             {"", "nowhere", "10.0.0.1", "10.0.0.1:0", "0.0.0.0:80",
+              "255.255.255.255:80", "224.0.0.1:80", "10.0.0.1:80\r\n"}) {
+            auto bad = good_member();
+            bad[field] = text;
+            EXPECT_THROW(parse_member(bad), error) << field << ' ' << text;
+        }
+}
+
+TEST(Members, AMemberWithANameThatNoLogCanHoldIsRefused)
+{
+    for (const auto* field : {"name", "incarnation", "data_centre"})
+        for (const auto& text :
+             {std::string(), std::string("a\r\nb"), std::string(201, 'a')}) {
+            auto bad = good_member();
+            bad[field] = text;
+            EXPECT_THROW(parse_member(bad), error) << field << ' ' << text;
+        }
+    EXPECT_THROW(parse_member("a"), error);
+    EXPECT_THROW(parse_member(nullptr), error);
+}
+
+// Revision -1 became the highest of all: its receiver asked without an end.
+TEST(Members, AHeartbeatsNumbersMustBeWholeAndMakeSense)
+{
+    const auto whole = to_json(make_heartbeat("a"));
+    for (const auto* field : {"s", "o", "t"})
+        for (const nlohmann::json& value :
+             {nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json(1e300),
+              nlohmann::json(true), nlohmann::json(UINT64_MAX)}) {
+            auto bad = whole;
+            bad[field] = value;
+            EXPECT_THROW(parse_member_heartbeat(bad), error)
+                << field << ' ' << value;
+        }
+}
+
 TEST(Members, AHeartbeatWithAFieldOfAnotherTypeIsRefused)
 {
     const auto whole = to_json(make_heartbeat("a"));
