Send nothing to a target that names the router's own address

What would be seen: a row of another writer with the address at which a router takes requests names a target; that router sends requests to itself, each of which is placed again, up to the route's attempts at every turn.

Change: the router refuses such a row as unreadable, with its reason in the log. A row that names another router is still taken: a request with the header of a target's id should be refused where requests come in, which is left open here.

--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -66,6 +66,21 @@
     io::timer timer_;
 };
 
+// A request that is sent there would come in again.
+void refuse_own_address(router::platform_language& language,
+                        const io::address& own)
+{
+    language.rows.read_target = [read = std::move(language.rows.read_target),
+                                 own](std::string_view key,
+                                      std::string_view text) {
+        auto target = read(key, text);
+        if (io::parse_address(target.address) == own)
+            throw error("decode target", key,
+                        "it names this router's own address");
+        return target;
+    };
+}
+
 router::platform_parts make_platform(io::event_loop& loop,
                                      const router::router_settings& settings,
                                      std::uint64_t seed)
@@ -73,6 +88,7 @@
     router::platform_parts parts;
     if (settings.platform == router::platform_kind::rows) {
         parts.language = platform::make_language();
+        refuse_own_address(parts.language, settings.caller_address);
         parts.store = std::make_unique<platform::store_client>(
             loop, settings.platform_address);
         return parts;
