Refuse records of targets that no connection can be made to

What operators would see on the product's own interface: a record with the address "x" is accepted, also by `vanillapost-records`, and its target fails each probe with `probe_not_sent` and each attempt. A load report of 2^31-1 was taken too.

The test that names every bad field of a record had "x" as a good address; it now expects that to be named as well, so it checks one field more.

Evidence: records.every_bad_field_is_named finds 3 problems before, 4 now.

--- a/apps/router/records_language.cpp
+++ b/apps/router/records_language.cpp
@@ -17,6 +17,13 @@
 /// Targets say in every answer whether they are cold, so that this never ends
 /// by itself.
 constexpr duration until_told = 24h;
+/// Figures of a load report; their sums stay small.
+constexpr int max_load_figure = 1'000'000;
+
+bool is_figure(const std::optional<int>& value)
+{
+    return value && *value >= 0 && *value <= max_load_figure;
+}
 
 // "in flight/slots"
 std::optional<load_report> read_load(std::string_view header)
@@ -26,7 +33,7 @@
         return std::nullopt;
     const auto in_flight = parse_number<int>(header.substr(0, slash));
     const auto slots = parse_number<int>(header.substr(slash + 1));
-    if (!in_flight || *in_flight < 0 || !slots || *slots < 0)
+    if (!is_figure(in_flight) || !is_figure(slots))
         return std::nullopt;
     return load_report{*in_flight, 0, std::max(*slots, 1), 1};
 }
--- a/src/records/parse_record.cpp
+++ b/src/records/parse_record.cpp
@@ -1,6 +1,7 @@
 #include "vanillapost/src/records/parse_record.hpp"
 
 #include "vanillapost/src/base/duration_text.hpp"
+#include "vanillapost/src/base/text_check.hpp"
 #include "vanillapost/src/records/field_reader.hpp"
 
 #include <algorithm>
@@ -77,6 +78,15 @@
     return milliseconds(reader.integer(field, 1, max_deadline_ms, fallback));
 }
 
+std::string read_address(field_reader& reader)
+{
+    auto text = reader.text("address");
+    if (!text.empty() && !is_connectable_address(text))
+        reader.problem("address", shortened(text),
+                       "an IP number and a port to connect to");
+    return text;
+}
+
 target_record read_target(field_reader& reader, bool first_schema)
 {
     target_record value;
@@ -84,7 +94,7 @@
     value.service = read_name<service_id>(reader, "service");
     value.data_centre = read_name<data_centre_id>(
         reader, first_schema ? "zone" : "data_centre");
-    value.address = reader.text("address");
+    value.address = read_address(reader);
     value.slots = static_cast<int>(
         reader.integer(first_schema ? "limit" : "slots", 0, max_slots));
     if (first_schema)
--- a/test/records.cpp
+++ b/test/records.cpp
@@ -39,10 +39,11 @@
                      "test");
         FAIL();
     } catch (const field_error& failure) {
-        ASSERT_EQ(failure.problems().size(), 3u);
+        ASSERT_EQ(failure.problems().size(), 4u);
         EXPECT_EQ(failure.problems()[0].field, "/name");
-        EXPECT_EQ(failure.problems()[1].field, "/slots");
-        EXPECT_EQ(failure.problems()[2].field, "/colour");
+        EXPECT_EQ(failure.problems()[1].field, "/address");
+        EXPECT_EQ(failure.problems()[2].field, "/slots");
+        EXPECT_EQ(failure.problems()[3].field, "/colour");
     }
 }
 
