Let no claim write headers of its own into an answer

What callers would see: a booking that is asked for again is answered with what stands in its row of the table. A writer of that row could add headers and bodies to the answer by a line break, or have it sent with status 0.

Change: names and values of kept headers must be such, and a claim that is done must have a final status. A row that breaks this is no claim, which is answered as before: not run again, outcome unknown.

Evidence: idempotency.a_claim_cannot_add_headers_to_an_answer on the code before: 10 of 10 claims taken that must not be. It passes now.

--- a/src/idempotency/claim_row.cpp
+++ b/src/idempotency/claim_row.cpp
@@ -1,4 +1,6 @@
 #include "vanillapost/src/idempotency/claim_row.hpp"
+
+#include "vanillapost/src/base/text_check.hpp"
 #include "vanillapost/src/records/field_reader.hpp"
 #include "vanillapost/src/records/parse_record.hpp"
 
@@ -51,6 +53,17 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+// A line break in it would end the header, and begin one of the writer's.
+bool is_header(const std::pair<std::string, std::string>& field)
+{
+    const auto breaks = [](char c) {
+        return c == '\r' || c == '\n' || c == '\0';
+    };
+    return is_header_word(field.first) &&
+           field.first.find(':') == std::string::npos &&
+           std::ranges::none_of(field.second, breaks);
+}
+
 header_list read_headers(detail::field_reader& fields)
 {
     header_list headers;
@@ -62,9 +75,22 @@
     } catch (const nlohmann::json::exception&) {
         fields.problem("headers", "other JSON", "pairs of strings");
     }
+    if (!std::ranges::all_of(headers, is_header))
+        fields.problem("headers", "other texts", "names and values of headers");
     return headers;
 }
 
+// A kept answer is sent to callers as it is.
+int read_status(detail::field_reader& fields, claim_state state)
+{
+    constexpr std::int64_t first_final_status = 200;
+    constexpr std::int64_t last_status = 599;
+    const auto value = fields.integer("status", 0, last_status, 0);
+    if (state == claim_state::done && value < first_final_status)
+        fields.problem("status", std::to_string(value), "200 to 599");
+    return static_cast<int>(value);
+}
+
 } // namespace
 
 bool is_idempotency_key(std::string_view key)
@@ -100,7 +126,7 @@
     row.claimant.incarnation = fields.text("incarnation");
     row.state = static_cast<claim_state>(
         fields.choice("state", {"claimed", "done", "released", "unknown"}));
-    row.outcome.status = static_cast<int>(fields.integer("status", 0, 999, 0));
+    row.outcome.status = read_status(fields, row.state);
     row.outcome.body_kept = fields.boolean("body_kept", true);
     row.expires_unix_ms = fields.integer(
         "expires_unix_ms", 0, std::numeric_limits<std::int64_t>::max());
--- a/test/idempotency.cpp
+++ b/test/idempotency.cpp
@@ -437,6 +437,30 @@
     RC_ASSERT(parse_claim(to_text(row), "test") == row);
 }
 
+// A kept answer goes to callers as it stands in the row.
+TEST(idempotency, a_claim_cannot_add_headers_to_an_answer)
+{
+    const std::vector<std::pair<std::string, std::string>> bad = {
+        {"X", "a\r\nSet-Cookie: b"},
+        {"X: y\r\nZ", "a"},
+        {"X:", "a"},
+        {"", "a"},
+        {"X Y", "a"},
+        {"X", "a\nb"}};
+    for (const auto& field : bad) {
+        claim_row row = other_claim(claim_state::done);
+        row.outcome.headers = {field};
+        EXPECT_THROW(parse_claim(to_text(row), "test"), vanillapost::error)
+            << field.first << ": " << field.second;
+    }
+    for (const int status : {0, 100, 199, 600}) {
+        claim_row row = other_claim(claim_state::done);
+        row.outcome.status = status;
+        EXPECT_THROW(parse_claim(to_text(row), "test"), vanillapost::error)
+            << status;
+    }
+}
+
 RC_GTEST_PROP(idempotency, any_text_is_read_or_refused, (std::string text))
 {
     try {
