Refuse settings that would end the router later on

What operators would see: a router that starts with a seed that is no address, and ends as soon as it greets its seeds; one that starts with a `repeat_window` of "0s", and reads the end of an empty list at its first request. An address of 0.0.0.0 to listen at was also told to callers and peers, and `seeds` that are no list were taken apart as one.

Change: seeds and all addresses that others are told, or that the router connects to, must be such that a connection can be made; the window is at least 100 ms; the name fits into a log. `ready_address`, `directory_address` and `metrics_address` may still be any that can be listened at. Changed settings that are refused leave the old ones in force, as before.

Evidence: RouterSettings.NothingIsLeftToFailLater on the code before: 16 settings taken that must not be. It passes now.

--- a/apps/router/router_settings.cpp
+++ b/apps/router/router_settings.cpp
@@ -1,5 +1,6 @@
 #include "router_settings.hpp"
 
+#include "vanillapost/base.hpp"
 #include "vanillapost/records.hpp"
 #include "vanillapost/src/records/field_reader.hpp"
 
@@ -13,6 +14,7 @@
 constexpr std::size_t max_settings_bytes = 64 * 1024;
 constexpr double max_repeat_allowance = 1e6;
 constexpr std::int64_t max_log_lines = 100'000;
+constexpr duration shortest_window = std::chrono::milliseconds(100);
 constexpr std::array<std::string_view, 2> platform_names = {"records", "rows"};
 constexpr std::array<std::string_view, 4> level_names = {"debug", "info",
                                                          "warning", "error"};
@@ -29,21 +31,45 @@
     return value.value_or(fallback);
 }
 
-io::address read_address(detail::field_reader& reader, std::string_view field,
-                         bool required = true)
+constexpr std::string_view address_form =
+    "an IP number and a port, as in \"127.0.0.1:8080\"";
+
+/// An address to listen at; empty where the field is missing.
+io::address read_local_address(detail::field_reader& reader,
+                               std::string_view field)
 {
-    const auto text = required ? reader.text(field) : reader.text(field, "");
+    const auto text = reader.text(field, "");
     if (text.empty())
         return {};
     try {
         return io::parse_address(text);
     } catch (const error&) {
-        reader.problem(field, text,
-                       "an IP number and a port, as in \"127.0.0.1:8080\"");
+        reader.problem(field, shortened(text), address_form);
         return {};
     }
 }
 
+/// An address that others connect to, or that this instance connects to.
+io::address read_address(detail::field_reader& reader, std::string_view field)
+{
+    const auto text = reader.text(field);
+    if (text.empty())
+        return {};
+    if (is_connectable_address(text))
+        return io::parse_address(text);
+    reader.problem(field, shortened(text), address_form);
+    return {};
+}
+
+std::string read_name(detail::field_reader& reader, std::string_view field)
+{
+    const auto text = reader.text(field);
+    if (!text.empty() && !is_name_text(text))
+        reader.problem(field, shortened(text),
+                       "1 to 200 bytes without control characters");
+    return text;
+}
+
 std::string optional_text(const io::address& where)
 {
     return where.ip.empty() ? "" : io::to_string(where);
@@ -55,15 +81,29 @@
     const auto* list = reader.child("seeds");
     if (!list)
         return result;
+    if (!list->is_array())
+        reader.problem("seeds", "other JSON", "a list of addresses");
     for (const auto& each : *list) {
-        if (!each.is_string())
-            reader.problem("seeds", each.dump(), "a list of addresses");
-        else if (!each.get<std::string>().empty())
-            result.push_back(each);
+        const auto text = each.is_string() ? each.get<std::string>() : "?";
+        if (is_connectable_address(text))
+            result.push_back(text);
+        else if (!text.empty())
+            reader.problem("seeds", shortened(text), address_form);
     }
     return result;
 }
 
+// Divided into slices, so that it must not be too short for these.
+duration read_window(detail::field_reader& reader, duration fallback)
+{
+    const auto value = read_duration(reader, "repeat_window", fallback);
+    if (value >= shortest_window)
+        return value;
+    reader.problem("repeat_window", format_duration(value),
+                   "at least " + format_duration(shortest_window));
+    return fallback;
+}
+
 } // namespace
 
 router_settings parse_router_settings(std::string_view text,
@@ -73,14 +113,14 @@
         parse_bounded_json(text, max_settings_bytes, step, file);
     detail::field_reader reader(document);
     router_settings result;
-    result.name = reader.text("name");
-    result.data_centre.value = reader.text("data_centre");
+    result.name = read_name(reader, "name");
+    result.data_centre.value = read_name(reader, "data_centre");
     result.caller_address = read_address(reader, "caller_address");
-    result.ready_address = read_address(reader, "ready_address", false);
-    result.directory_address = read_address(reader, "directory_address", false);
+    result.ready_address = read_local_address(reader, "ready_address");
+    result.directory_address = read_local_address(reader, "directory_address");
     result.query_address = read_address(reader, "query_address");
     result.peer_address = read_address(reader, "peer_address");
-    result.metrics_address = read_address(reader, "metrics_address", false);
+    result.metrics_address = read_local_address(reader, "metrics_address");
     result.platform = static_cast<platform_kind>(
         reader.choice("platform", {platform_names[0], platform_names[1]}, 0));
     result.platform_address = read_address(reader, "platform_address");
@@ -93,8 +133,7 @@
         reader.number("repeat_ratio", 0, 1, result.repeats.ratio);
     result.repeats.allowance = reader.number(
         "repeat_allowance", 0, max_repeat_allowance, result.repeats.allowance);
-    result.repeats.window =
-        read_duration(reader, "repeat_window", result.repeats.window);
+    result.repeats.window = read_window(reader, result.repeats.window);
     result.log_level = static_cast<io::log_level>(reader.choice(
         "log_level",
         {level_names[0], level_names[1], level_names[2], level_names[3]}, 1));
--- a/test/router_settings.cpp
+++ b/test/router_settings.cpp
@@ -45,4 +45,44 @@
     }
 }
 
+bool is_refused(const nlohmann::json& document)
+{
+    try {
+        parse_router_settings(document.dump(), "f");
+        return false;
+    } catch (const error&) {
+        return true;
+    }
+}
+
+// A seed that is no address ended the router when it greeted its seeds, and a
+// window of nothing when it counted its first request.
+TEST(RouterSettings, NothingIsLeftToFailLater)
+{
+    const std::vector<std::pair<std::string, std::vector<nlohmann::json>>> bad =
+        {{"seeds",
+          {{"nowhere"},
+           {"10.0.0.1:0"},
+           {"0.0.0.0:4"},
+           {5},
+           "10.0.0.1:4",
+           {{"a", "10.0.0.1:4"}}}},
+         {"repeat_window", {"0s", "0.001ms", "99ms"}},
+         {"name", {"a\r\nb", std::string(201, 'a')}},
+         {"data_centre", {"a\nb"}},
+         {"caller_address", {"0.0.0.0:80", "127.0.0.1:0"}},
+         {"peer_address", {"0.0.0.0:80"}},
+         {"query_address", {"[::]:80"}},
+         {"platform_address", {"255.255.255.255:80"}}};
+    for (const auto& [field, values] : bad)
+        for (const auto& value : values) {
+            auto document = sample();
+            document[field] = value;
+            EXPECT_TRUE(is_refused(document)) << field << ' ' << value;
+        }
+    auto open = sample();
+    open["metrics_address"] = "0.0.0.0:9464";
+    EXPECT_FALSE(is_refused(open));
+}
+
 } // namespace
