Leave log lines out that nest until the stack ends

What operators would see: `vanillapost-explain` ends with a segmentation fault on a log in which one line nests 100,000 lists, whoever wrote it.

Cause: lines are copied as JSON values, which the library does by recursion.

Change: a line is bounded at 256 KiB and at the depth of records; what is beyond is counted as unreadable.

Evidence: Explain.ALineThatIsNestedDeepIsLeftOut on the code before ends with exit code 139; it passes now.

--- a/apps/explain/log_reader.cpp
+++ b/apps/explain/log_reader.cpp
@@ -1,9 +1,30 @@
 #include "log_reader.hpp"
 
+#include "vanillapost/base.hpp"
+#include "vanillapost/records.hpp"
+
 #include <algorithm>
 
 namespace vanillapost::explain {
 
+namespace {
+
+/// Longest line that is of a router; others may stand in the same file.
+constexpr std::size_t max_line_bytes = 256 * 1024;
+
+/// Null for what is no JSON, too long or nested so deep that a copy of it
+/// would overflow the stack.
+nlohmann::json parse_fields(std::string_view text)
+{
+    try {
+        return parse_bounded_json(text, max_line_bytes, "read log", "");
+    } catch (const error&) {
+        return nullptr;
+    }
+}
+
+} // namespace
+
 std::string log_line::field(std::string_view name) const
 {
     const auto found = fields.find(name);
@@ -17,7 +38,7 @@
     const auto begin = text.find('{');
     if (begin == std::string_view::npos)
         return std::nullopt;
-    auto fields = nlohmann::json::parse(text.substr(begin), nullptr, false);
+    auto fields = parse_fields(text.substr(begin));
     if (!fields.is_object())
         return std::nullopt;
     log_line line;
--- a/test/explain.cpp
+++ b/test/explain.cpp
@@ -43,6 +43,18 @@
     EXPECT_EQ(attempts[1].outcome, "answered: 200");
 }
 
+// Lines are copied, and a copy of this one overflowed the stack.
+TEST(Explain, ALineThatIsNestedDeepIsLeftOut)
+{
+    constexpr std::size_t depth = 100'000;
+    const auto deep = std::string(depth, '[') + std::string(depth, ']');
+    auto contents = read(line("t1", "r1", "started", R"(,"x":)" + deep) +
+                         line("t2", "r1", "started"));
+    EXPECT_EQ(contents.lines.size(), 1u);
+    EXPECT_EQ(contents.unreadable, 1u);
+    find_request(contents.lines, "x");
+}
+
 TEST(Explain, ARequestsPathShowsWhatItsInstanceKnew)
 {
     const auto contents =
