Keep names that are no text out of burn reports

What operators would see: `vanillapost-burn` ends with json.exception.type_error.316 when it writes its report as JSON, after any instance has shown a metric with bytes in its `service` that are no UTF-8.

Change: such a sample is not counted; the others of the same answer are.

Evidence: decoders.a_service_that_is_no_utf8_is_not_counted on the code before counts 2 services; it passes now.

--- a/src/exposition/answer_counts.cpp
+++ b/src/exposition/answer_counts.cpp
@@ -1,5 +1,7 @@
 #include "vanillapost/src/exposition/answer_counts.hpp"
 
+#include "vanillapost/src/base/text_check.hpp"
+
 #include <cstdint>
 
 namespace vanillapost {
@@ -24,7 +26,11 @@
     for (const auto& sample : samples) {
         if (sample.name != request_counter_name)
             continue;
-        auto& count = counts[service_id{std::string(sample.label("service"))}];
+        const auto service = sample.label("service");
+        // It is written into reports, which are JSON.
+        if (!service.empty() && !is_name_text(service))
+            continue;
+        auto& count = counts[service_id{std::string(service)}];
         const auto answers = to_count(sample.value);
         count.total += answers;
         if (sample.label("result") == "good")
--- a/test/decoders.cpp
+++ b/test/decoders.cpp
@@ -145,6 +145,16 @@
     EXPECT_EQ(counts.at({"s"}), (answer_count{0, 1000}));
 }
 
+// The report is JSON, which no such name can be written into.
+TEST(decoders, a_service_that_is_no_utf8_is_not_counted)
+{
+    const auto counts = count_answers(
+        parse_metrics_text("vanillapost_requests_total{service=\"\xc1\"} 12\n"
+                           "vanillapost_requests_total{service=\"s\"} 1\n",
+                           "test"));
+    EXPECT_EQ(counts.size(), 1u);
+}
+
 TEST(decoders, metrics_may_break_off_anywhere)
 {
     for (std::size_t length = 0; length < good_metrics.size(); ++length) {
