Take a row that is newer than its answer at the answer's revision

What would be seen: a store that names its revision before it reads the rows could answer with a row that is newer.

Change: its value counts, at the revision of the answer. Its true revision comes again with the next changes, and nothing that happened in between is hidden, as it would be if the answer's revision were raised instead.

Ruled out: raising the answer's revision; followers go on from there.

--- a/src/io/platform_codec.cpp
+++ b/src/io/platform_codec.cpp
@@ -3,6 +3,7 @@
 #include "vanillapost/src/base/error.hpp"
 #include "vanillapost/src/base/text_check.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace vanillapost::io::detail {
@@ -86,9 +87,10 @@
     if (!is_name_text(row.key, max_key_bytes))
         throw error("decode platform answer", "key",
                     "expected a text without control characters");
-    if (row.at == 0 || row.at > latest)
-        throw error("decode platform answer", "revision",
-                    "expected one up to the latest");
+    if (row.at == 0)
+        throw error("decode platform answer", "revision", "expected one");
+    // It is not newer than the answer: changes up to there are not told again.
+    row.at = std::min(row.at, latest);
     return row;
 }
 
