--- a/test/decoders.cpp
+++ b/test/decoders.cpp
@@ -130,6 +130,15 @@
     record_difference(before, some_text(good_target));
 }
 
+RC_GTEST_PROP(decoders, durations_survive_their_encoding, ())
+{
+    const std::chrono::milliseconds time(*rc::gen::inRange(0, 1'000'000'000));
+    RC_ASSERT(parse_duration(format_duration(time)) == duration(time));
+    const auto any = *rc::gen::arbitrary<std::string>();
+    const auto read = parse_duration(any + "ms");
+    RC_ASSERT(!read || *read >= duration::zero());
+}
+
 RC_GTEST_PROP(decoders, metrics_are_read_or_refused, ())
 {
     const auto text = some_text(good_metrics);
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -2,6 +2,7 @@
 #include "vanillapost/src/base/error.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 using namespace vanillapost;
 using namespace std::chrono_literals;
@@ -151,6 +152,29 @@
         }
 }
 
+RC_GTEST_PROP(Members, MembersAndHeartbeatsSurviveTheirEncoding, ())
+{
+    const auto port = [] {
+        return ":" + std::to_string(*rc::gen::inRange(1, 65536));
+    };
+    const auto name = [] {
+        return *rc::gen::nonEmpty(
+            rc::gen::container<std::string>(rc::gen::inRange(' ', '~')));
+    };
+    const member who{{name()},         name(),
+                     {name()},         "10.0.0.1" + port(),
+                     "[::1]" + port(), "127.0.0.1" + port()};
+    RC_ASSERT(parse_member(nlohmann::json::parse(to_json(who).dump())) == who);
+    auto heartbeat = make_heartbeat(who.name.value);
+    heartbeat.store = *rc::gen::element(
+        store_access::untried, store_access::works, store_access::lost);
+    heartbeat.revisions = {*rc::gen::inRange<std::uint64_t>(0, 1ULL << 53),
+                           *rc::gen::inRange<std::uint64_t>(0, 1ULL << 53)};
+    const auto text = to_json(heartbeat);
+    RC_ASSERT(to_json(parse_member_heartbeat(
+                  nlohmann::json::parse(text.dump()))) == text);
+}
+
 TEST(Members, AHeartbeatWithAFieldOfAnotherTypeIsRefused)
 {
     const auto whole = to_json(make_heartbeat("a"));
