Show with real routers that one row holds up no other

Rows of both tables that the store's answers cannot be read whole for: without a value, with a null, with what is no base64, with revision -1, with a key that is a number or half a pair. Then a new route and a new target have to be known to all routers, and every request to be served.

--- a/test/platform/store.py
+++ b/test/platform/store.py
@@ -163,6 +163,8 @@
         row = {"table": table, "part": part, "key": key, "revision": revision}
         if value is None:
             row["deleted"] = True
+        elif isinstance(value, dict):
+            row.update(value)  # as it is, however wrong
         else:
             raw = value if isinstance(value, bytes) else value.encode()
             row["value"] = base64.b64encode(raw).decode()
--- a/test/platform/test_router.py
+++ b/test/platform/test_router.py
@@ -176,6 +176,28 @@
     run(scenario)
 
 
+def test_a_row_that_no_reader_can_read_holds_up_no_other():
+    async def scenario(fleet):
+        for table in ("servers", "op"):
+            for key, row in (("s1", {}), ("s2", {"value": None}),
+                             ("s3", {"value": "!!"}), ("s4", {"revision": -1}),
+                             ("s5", {"key": 5}), ("s6", {"key": "\ud800"})):
+                await fleet.store.put(table, key, row)
+        fleet.routes.append(Route("new", "shop.example", "/new/", "stock"))
+        await fleet.write_config()
+        await fleet.add_target("stock", "a")
+        await asyncio.sleep(1.5)
+        for router in fleet.routers:
+            assert await router.metric(
+                "vanillapost_configuration_version") == fleet.version
+            assert await router.metric("vanillapost_targets") == len(
+                fleet.targets)
+        await fleet.load(1)
+        assert fleet.truth.served() == 1.0
+
+    run(scenario)
+
+
 def test_an_outage_of_the_store_costs_no_request():
     async def scenario(fleet):
         for mode in ("busy", "reset", "silent", "many"):
