--- /dev/null
+++ b/test/fuzz/peer_message.cpp
@@ -0,0 +1,24 @@
+#include "fuzz_target.hpp"
+#include "vanillapost/members.hpp"
+#include "vanillapost/src/io/detail/cbor.hpp"
+
+void vanillapost::fuzz::decode(std::string_view bytes)
+{
+    const auto message = io::detail::parse_message(bytes);
+    // What a message holds may be written into JSON later on.
+    message.dump();
+    for (const auto* field : {"hello", "heartbeat"}) {
+        if (!message.contains(field))
+            continue;
+        const auto& part = message.at(field);
+        decode_or_refuse([&] {
+            const auto who = parse_member(part);
+            require(parse_member(to_json(who)) == who);
+            require(is_connectable_address(who.caller_address));
+        });
+        decode_or_refuse([&] {
+            const auto text = to_json(parse_member_heartbeat(part));
+            require(to_json(parse_member_heartbeat(text)) == text);
+        });
+    }
+}
