--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peer_controller.cpp
@@ -38,6 +38,14 @@
     return which == shared_table::operators ? "operators" : "targets";
 }
 
+shared_table parse_table_name(const json& name)
+{
+    for (const auto which : {shared_table::operators, shared_table::targets})
+        if (name == name_of(which))
+            return which;
+    throw error("read change", "", "a table of another name");
+}
+
 } // namespace
 
 peer_controller::peer_controller(io::event_loop& loop, const io::address& where,
@@ -232,11 +240,8 @@
         take_heartbeat(from, message);
         return;
     }
-    const auto which = message.at("table").get<std::string>() ==
-                               name_of(shared_table::operators)
-                           ? shared_table::operators
-                           : shared_table::targets;
-    state_.merge(which, parse_state_difference(message.at("change")), from.ip);
+    state_.merge(parse_table_name(message.at("table")),
+                 parse_state_difference(message.at("change")), from.ip);
 }
 
 void peer_controller::take_hello(const io::address& from, const json& message)
@@ -299,9 +304,7 @@
             if (answer_status_ != status_ok)
                 throw error("ask for state", name,
                             "status " + std::to_string(answer_status_));
-            if (answer_.size() > max_answer_bytes)
-                throw error("ask for state", name, "too long");
-            state_.merge(parse_message(answer_), name);
+            state_.merge(parse_message(answer_, max_answer_bytes), name);
             metrics_.count_state_question("taken");
         } catch (const std::exception& failure) {
             metrics_.count_state_question("unreadable");
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state_controller.cpp
@@ -153,8 +153,7 @@
               parse_state_difference(difference.at("operators")), peer);
         merge(shared_table::targets,
               parse_state_difference(difference.at("targets")), peer);
-        for (const auto& each : difference.at("members"))
-            add_listed_member(each);
+        add_listed_members(difference.at("members"));
     } catch (const json::exception& failure) {
         throw error("read state", "", failure.what());
     }
@@ -165,9 +164,15 @@
     known_.members.on_known(read_member(document), loop_.now());
 }
 
-void state_controller::add_listed_member(const json& document)
+void state_controller::add_listed_members(const json& list)
 {
-    known_.members.on_listed(read_member(document), loop_.now());
+    for (const auto& each : list) {
+        try {
+            known_.members.on_listed(read_member(each), loop_.now());
+        } catch (const error& failure) {
+            report("members_unreadable", "", failure.what());
+        }
+    }
 }
 
 bool state_controller::knows_newest()
@@ -320,17 +325,10 @@
 {
     for (const auto& row : rows) {
         const auto list = json::parse(row.value, nullptr, false);
-        if (!list.is_array()) {
+        if (list.is_array())
+            add_listed_members(list);
+        else
             report("members_unreadable", row.key, "not a list");
-            continue;
-        }
-        for (const auto& each : list) {
-            try {
-                add_listed_member(each);
-            } catch (const std::exception& failure) {
-                report("members_unreadable", row.key, failure.what());
-            }
-        }
     }
 }
 
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state_controller.hpp
@@ -111,7 +111,7 @@
     void take_target_rows(const std::vector<io::store_row>& changed);
     void take_target_row(const io::store_row& row);
     void finish_target_rows();
-    void add_listed_member(const nlohmann::json& document);
+    void add_listed_members(const nlohmann::json& list);
     void take_member_rows(const std::vector<io::store_row>& rows);
     void note_access(bool works);
     void report(std::string_view event, const std::string& key,
--- a/apps/router/state_table.cpp
+++ b/apps/router/state_table.cpp
@@ -24,12 +24,25 @@
     return {bytes.begin(), bytes.end()};
 }
 
-io::store_row parse_row(const json& document)
+/// Whole numbers up to here are the same in all programs that speak JSON.
+constexpr std::uint64_t max_revision = std::uint64_t{1} << 53;
+
+std::uint64_t parse_revision(const json& document)
+{
+    if (!document.is_number_unsigned() ||
+        document.get<std::uint64_t>() > max_revision)
+        throw error("read state", "", "a revision that makes no sense");
+    return document.get<std::uint64_t>();
+}
+
+io::store_row parse_row(const json& document, std::uint64_t newest)
 {
     io::store_row row;
     row.key = parse_bytes(document.at("key"));
     row.value = parse_bytes(document.at("value"));
-    row.revision = document.at("revision").get<std::uint64_t>();
+    row.revision = parse_revision(document.at("revision"));
+    if (row.revision > newest)
+        throw error("read state", "", "a row newer than the change");
     row.removed = document.at("removed").get<bool>();
     return row;
 }
@@ -55,12 +68,12 @@
 {
     try {
         state_difference result;
-        result.after = document.at("after").get<std::uint64_t>();
-        result.revision = document.at("revision").get<std::uint64_t>();
+        result.after = parse_revision(document.at("after"));
+        result.revision = parse_revision(document.at("revision"));
         result.whole = document.at("whole").get<bool>();
         result.after_outage = document.at("after_outage").get<bool>();
         for (const auto& row : document.at("rows"))
-            result.rows.push_back(parse_row(row));
+            result.rows.push_back(parse_row(row, result.revision));
         return result;
     } catch (const json::exception& failure) {
         throw error("read state", "", failure.what());
--- a/test/decoders.cpp
+++ b/test/decoders.cpp
@@ -130,6 +130,15 @@
     record_difference(before, some_text(good_target));
 }
 
+RC_GTEST_PROP(decoders, durations_survive_their_encoding, ())
+{
+    const std::chrono::milliseconds time(*rc::gen::inRange(0, 1'000'000'000));
+    RC_ASSERT(parse_duration(format_duration(time)) == duration(time));
+    const auto any = *rc::gen::arbitrary<std::string>();
+    const auto read = parse_duration(any + "ms");
+    RC_ASSERT(!read || *read >= duration::zero());
+}
+
 RC_GTEST_PROP(decoders, metrics_are_read_or_refused, ())
 {
     const auto text = some_text(good_metrics);
@@ -145,6 +154,16 @@
     EXPECT_EQ(counts.at({"s"}), (answer_count{0, 1000}));
 }
 
+// The report is JSON, which no such name can be written into.
+TEST(decoders, a_service_that_is_no_utf8_is_not_counted)
+{
+    const auto counts = count_answers(
+        parse_metrics_text("vanillapost_requests_total{service=\"\xc1\"} 12\n"
+                           "vanillapost_requests_total{service=\"s\"} 1\n",
+                           "test"));
+    EXPECT_EQ(counts.size(), 1u);
+}
+
 TEST(decoders, metrics_may_break_off_anywhere)
 {
     for (std::size_t length = 0; length < good_metrics.size(); ++length) {
--- a/test/state_table.cpp
+++ b/test/state_table.cpp
@@ -50,6 +50,18 @@
     EXPECT_EQ(arrived.rows[0].value, row.value);
 }
 
+TEST(StateMessage, AnAnswerMayBeLongerThanADatagram)
+{
+    constexpr std::size_t answer_bytes = 1024 * 1024;
+    const io::store_row row{"k", std::string(64 * 1024, '\x5f'), 7, false};
+    const auto bytes =
+        io::detail::write_message(to_message({5, 7, false, false, {row}}));
+    EXPECT_THROW(io::detail::parse_message(bytes), error);
+    const auto arrived =
+        parse_state_difference(io::detail::parse_message(bytes, answer_bytes));
+    EXPECT_EQ(arrived.rows[0].value, row.value);
+}
+
 RC_GTEST_PROP(StateMessage, WhatOneInstanceTellsAnotherHoldsExactly, ())
 {
     state_table teller;
