Read no times from a log that overflow their difference

What operators would see: nothing but a wrong number, as long as the compiler lets a signed overflow pass; a line with the largest and the smallest time that a number holds brings it about.

Change: times that make no sense count as 0.

Evidence: the fuzz target log_lines ends with "signed integer overflow: - -" on the kept input before, and passes now. 88,161 random inputs had not found it; the input was written by hand.

--- a/apps/explain/explanation.cpp
+++ b/apps/explain/explanation.cpp
@@ -1,8 +1,9 @@
 #include "explanation.hpp"
 
+#include "vanillapost/base.hpp"
+
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <map>
 #include <tuple>
 
@@ -25,6 +26,15 @@
     "leaving",
     "ready"};
 
+/// Milliseconds of a log line; 0 for what makes no sense, so that sums of
+/// them do not overflow.
+long read_ms(std::string_view text)
+{
+    constexpr long longest = 1'000'000'000;
+    const auto value = parse_number<long>(text).value_or(0);
+    return value >= 0 && value <= longest ? value : 0;
+}
+
 bool is_request(const log_line& line)
 {
     return line.event == ended_event || line.event == refused_event;
@@ -87,7 +97,7 @@
         attempts, {}, [](const auto& each) { return each.taken_ms; });
     if (slowest == attempts.end())
         return "It took " + taken + " ms.";
-    const long rest = std::atol(taken.c_str()) - slowest->taken_ms;
+    const long rest = read_ms(taken) - slowest->taken_ms;
     return "It took " + taken + " ms: target " + slowest->target + " had it " +
            std::to_string(slowest->taken_ms) + " ms (" + slowest->outcome +
            "), the rest " + std::to_string(std::max(rest, 0L)) +
@@ -110,8 +120,7 @@
             continue;
         told_attempt attempt;
         attempt.target = piece.substr(0, space);
-        attempt.taken_ms = std::atol(
-            std::string(piece.substr(space + 1, unit - space - 1)).c_str());
+        attempt.taken_ms = read_ms(piece.substr(space + 1, unit - space - 1));
         attempt.outcome = piece.substr(unit + 3);
         result.push_back(std::move(attempt));
     }
