Show that a router refuses its own address as a target

A row with the address at which one of the routers takes requests; that router has to name it in its log, and all requests are still served.

All requests are served with either, so the loop itself has not been seen: the others' rows keep it from closing here.

--- a/test/platform/test_router.py
+++ b/test/platform/test_router.py
@@ -168,10 +168,15 @@
                            ("x3", '{"address":"127.0.0.1:1"}'),
                            ("x4", json.dumps(lying))):
             await fleet.store.put("servers", key, value)
+        # A request that a router sent there would come in again.
+        looped = fleet.routers[0]
+        await fleet.store.put("servers", "x5",
+                              json.dumps(dict(lying, address=looped.front)))
         await fleet.store.put("op", "config", '{"version":"r999"}')
         await asyncio.sleep(1)
         await fleet.load(1)
         assert fleet.truth.served() == 1.0
+        assert "this router's own address" in looped.log.read_text()
 
     run(scenario)
 
