Keep running whatever the reading of changed settings throws

Cause: read in the code. The settings file is read again in a callback of the loop, where only the project's own failures were caught; a failure of a library ends the process there. The old settings stay in force, as for any that cannot be read.

--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -53,7 +53,7 @@
                 return;
             text_ = std::move(text);
             server_.apply(router::parse_router_settings(text_, file_));
-        } catch (const error& failure) {
+        } catch (const std::exception& failure) {
             io::log(io::log_level::warning, "settings_not_applied",
                     {{"file", file_}, {"reason", failure.what()}});
         }
