Let nothing be written into an answer that has begun

What callers would see: a download of more than 1 MiB that stops until the route's time-out or their deadline ends with a 504, head and JSON, in the middle of the body. With a length, these bytes are taken for its rest; in chunks, the end that followed made the broken answer look complete.

Cause: `request_task::give_up` replied whatever had gone out, and `caller_exchange::reply` wrote behind `begin`. From reading, a second way: while a hedge was being placed, the first attempt could begin to stream, and the hedge still went out; its answer would have been written likewise.

Ruled out: that a stream is cut at its objective; only the deadline (the caller's, at most the route's time-out) ends it, as the users' rules ask. It is broken off then, since its callers can be told nothing else.

Why it works: the exchange knows that an answer has begun and how many bytes are due. `reply` behind `begin`, too many bytes and too few can only break the connection off. An answer without a body (HEAD, 204, 304) gets no chunks. A task places nothing more once an answer has begun.

--- a/apps/router/request_answers.cpp
+++ b/apps/router/request_answers.cpp
@@ -51,6 +51,12 @@
                            duration retry_after, int refusal_status)
 {
     abandon_attempts();
+    if (exchange_->has_begun()) {
+        // The caller has a part of an answer: its connection's end is the
+        // only failure that it can still be told.
+        finish(request_result::failed, failure_status, reason);
+        return;
+    }
     if (fallback_) {
         auto answer = std::move(fallback_);
         deliver(*answer);
--- a/apps/router/request_attempts.cpp
+++ b/apps/router/request_attempts.cpp
@@ -135,8 +135,11 @@
     exchange_->begin(from.head.status, from.head.headers, from.head.length);
     exchange_->write(from.body);
     from.body.clear();
+    // What this answer began, no other can complete: none is placed now.
+    hedging_ = false;
+    state_ = stage::running;
+    measured_.clear();
     watch_at_ = time_point::max();
-    // What this answer began, no other can complete.
     for (auto& other : attempts_) {
         if (other.get() == &from)
             continue;
--- a/include/vanillapost/src/io/caller_server.hpp
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -46,22 +46,36 @@
     /// Called once when the caller has closed its connection.
     void on_gone(std::function<void()> handler);
 
-    /// Sends the whole answer.
+    /// Sends the whole answer. Behind `begin` it breaks the begun one off
+    /// instead: nothing else may stand in its place.
     void reply(int status, const header_list& headers, std::string_view body);
 
     /// Starts an answer that is streamed, chunked when no length is given.
     void begin(int status, const header_list& headers,
                std::optional<std::uint64_t> length);
+    /// More than the length that was given breaks the answer off.
     void write(std::string_view data);
+    /// Less than the length that was given breaks the answer off.
     void finish();
 
+    /// Whether `begin` was called: the answer can only be finished now, or
+    /// broken off.
+    bool has_begun() const
+    {
+        return begun_;
+    }
+
     /// Bytes written that the kernel has not taken yet.
     std::size_t pending_bytes() const;
 
 private:
     friend struct detail::caller_slot;
 
+    void start_body(int status, std::optional<std::uint64_t> length);
+    void break_off();
+
     detail::caller_slot* slot_;
+    bool begun_ = false;
     std::function<void()> gone_;
 };
 
--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -22,7 +22,9 @@
     http_request request;
     std::string method; ///< stays when the request is taken
     bool keep_alive = true;
+    bool has_body = true; ///< of the answer
     bool chunked = false;
+    std::uint64_t left = 0; ///< of a body with a length
     bool finished = false;
     std::string held; ///< answer bytes behind those of earlier requests
 
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -27,9 +27,11 @@
            status != status_no_content && status != status_not_modified;
 }
 
-std::string length_line(std::uint64_t length)
+std::string framing_line(const detail::caller_slot& slot)
 {
-    return "Content-Length: " + std::to_string(length) + "\r\n";
+    if (slot.chunked)
+        return "Transfer-Encoding: chunked\r\n";
+    return "Content-Length: " + std::to_string(slot.left) + "\r\n";
 }
 
 } // namespace
@@ -72,34 +74,50 @@
 {
     if (!slot_)
         return;
-    const bool with_body = has_body(slot_->method, status);
-    auto& connection = *slot_->connection;
-    std::string bytes = detail::format_answer_head(
-        status, headers, with_body ? length_line(body.size()) : std::string(),
-        connection.says_close(*slot_));
-    if (with_body)
-        bytes.append(body);
-    if (connection.says_close(*slot_))
-        slot_->keep_alive = false;
-    connection.send(*slot_, bytes);
+    if (begun_) {
+        break_off();
+        return;
+    }
+    begin(status, headers, body.size());
+    if (slot_->has_body)
+        write(body);
     finish();
 }
 
+void caller_exchange::start_body(int status,
+                                 std::optional<std::uint64_t> length)
+{
+    begun_ = true;
+    slot_->has_body = has_body(slot_->method, status);
+    slot_->chunked = slot_->has_body && !length;
+    slot_->left = slot_->has_body ? length.value_or(0) : 0;
+}
+
+// The owner knows: it is not told that its caller has gone.
+void caller_exchange::break_off()
+{
+    auto* slot = std::exchange(slot_, nullptr);
+    slot->owner = nullptr;
+    slot->connection->break_off();
+}
+
 void caller_exchange::begin(int status, const header_list& headers,
                             std::optional<std::uint64_t> length)
 {
     if (!slot_)
         return;
-    slot_->chunked = !length;
+    if (begun_) {
+        break_off();
+        return;
+    }
+    start_body(status, length);
     auto& connection = *slot_->connection;
     const bool close = connection.says_close(*slot_);
     if (close)
         slot_->keep_alive = false;
-    connection.send(*slot_, detail::format_answer_head(
-                                status, headers,
-                                length ? length_line(*length)
-                                       : "Transfer-Encoding: chunked\r\n",
-                                close));
+    const auto framing = slot_->has_body ? framing_line(*slot_) : "";
+    connection.send(
+        *slot_, detail::format_answer_head(status, headers, framing, close));
 }
 
 void caller_exchange::write(std::string_view data)
@@ -108,6 +126,11 @@
         return;
     auto& connection = *slot_->connection;
     if (!slot_->chunked) {
+        if (data.size() > slot_->left) {
+            break_off();
+            return;
+        }
+        slot_->left -= data.size();
         connection.send(*slot_, data);
         return;
     }
@@ -123,6 +146,10 @@
 {
     if (!slot_)
         return;
+    if (slot_->left > 0) {
+        break_off();
+        return;
+    }
     auto* slot = std::exchange(slot_, nullptr);
     if (slot->chunked)
         slot->connection->send(*slot, "0\r\n\r\n");
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -113,6 +113,67 @@
     EXPECT_EQ(position(*caller, "0\r\n\r\n"), std::string::npos);
 }
 
+// What came behind a begun answer stood in the middle of its body.
+TEST(CallerServer, AReplyBehindABegunAnswerWritesNothingAndBreaksOff)
+{
+    const std::vector<std::optional<std::uint64_t>> lengths = {std::nullopt,
+                                                               99};
+    for (const auto& length : lengths) {
+        served s;
+        auto caller = s.connect();
+        caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.await(1);
+        s.held[0]->begin(200, {}, length);
+        s.held[0]->write("half");
+        s.await_text(*caller, "half");
+        EXPECT_TRUE(s.held[0]->has_begun());
+        s.held[0]->reply(504, {}, "too late");
+        run_until(s.loop, [&] { return caller->closed; });
+        EXPECT_EQ(position(*caller, "504"), std::string::npos);
+        EXPECT_EQ(position(*caller, "0\r\n\r\n"), std::string::npos);
+        EXPECT_TRUE(caller->received.find("half") != std::string::npos);
+        EXPECT_EQ(s.server.in_flight(), 0u);
+    }
+}
+
+// A caller would wait for the missing bytes, or take the next answer's.
+TEST(CallerServer, AnAnswerOfAnotherLengthThanItSaysBreaksOff)
+{
+    for (const std::string_view body : {"abc", "abcdefg"}) {
+        served s;
+        auto caller = s.connect();
+        caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                     "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.await(2);
+        s.held[1]->reply(200, {}, "second");
+        s.held[0]->begin(200, {}, 5);
+        s.held[0]->write(body);
+        s.held[0]->finish();
+        run_until(s.loop, [&] { return caller->closed; });
+        EXPECT_EQ(position(*caller, "second"), std::string::npos);
+        EXPECT_EQ(position(*caller, "abcdefg"), std::string::npos);
+    }
+}
+
+TEST(CallerServer, AStreamedAnswerToHeadHasNoBody)
+{
+    const std::vector<std::optional<std::uint64_t>> lengths = {std::nullopt,
+                                                               99};
+    for (const auto& length : lengths) {
+        served s;
+        auto caller = s.connect();
+        caller->send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                     "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.await(2);
+        s.held[0]->begin(200, {}, length);
+        s.held[0]->finish();
+        s.held[1]->reply(200, {}, "second");
+        s.await_text(*caller, "second");
+        EXPECT_NE(position(*caller, "\r\n\r\nHTTP/1.1 200"), std::string::npos);
+        EXPECT_EQ(position(*caller, "0\r\n\r\n"), std::string::npos);
+    }
+}
+
 TEST(CallerServer, StreamsInChunksWithoutALength)
 {
     served s;
--- a/test/platform/target.py
+++ b/test/platform/target.py
@@ -41,7 +41,8 @@
     """Works on some requests at a time, queues a few, and is silent to more.
 
     Faults: `slow` multiplies work; `fail`, `lose`, `spoil` are shares of
-    answers that are 500, lost after the run, or broken; `dark` is silence.
+    answers that are 500, lost after the run, or broken; `dark` is silence;
+    `stall` ("length" or "chunks", its framing) stops in the middle of a body.
     """
 
     def __init__(self, name, service, zone, store, truth, random, slots=2,
@@ -57,6 +58,7 @@
         self.slow = 1.0
         self.fail = self.lose = self.spoil = 0.0
         self.dark = False
+        self.stall = None
         self.draining = False
         self.cold_until = 0.0
         self.born = int(time.time() * 1000)
@@ -182,12 +184,26 @@
             status = 200
         headers = [(ID, attempt_id), (SEAL, seal_of(body)), self._load()]
         start = f"HTTP/1.1 {status} X"
+        if self.stall:
+            return await self._stall(start, headers, body, writer)
         if self._random.random() < self.spoil:
             return await self._spoil(start, headers, body, writer)
         writer.write(wire.format_message(start, headers, body))
         await writer.drain()
         return True
 
+    async def _stall(self, start, headers, body, writer):
+        half = body[:len(body) // 2]
+        if self.stall == "chunks":
+            chunked = headers + [("Transfer-Encoding", "chunked")]
+            writer.write(wire.format_message(start, chunked, length=False))
+            writer.write(b"%x\r\n%s\r\n" % (len(half), half))
+        else:
+            whole = wire.format_message(start, headers, body)
+            writer.write(whole[:len(whole) - len(body) + len(half)])
+        await asyncio.sleep(3600)
+        return False
+
     async def _spoil(self, start, headers, body, writer):
         kind = self._random.choice(
             ("cut", "extra", "late", "unframed", "unsealed", "noise", "coded"))
