Read nothing behind an answer that says it is the last

What callers would see, around a SIGTERM: of requests that were sent one behind the other, one was passed on to a target and then cut without an answer (LOST). For example the answer to the second is ready before that to the first, says `Connection: close` and waits for its turn; a third request comes meanwhile, is read and worked on, and is dropped when the second answer has gone out. Likewise for any request behind a stream that began after the signal, for as long as the stream lasts.

Cause: an answer decided that it was the last one when it was written, but the connection stopped reading only when it had gone out.

Ruled out: a request of which some bytes had been read by then; the answer before it does not say close.

Why it works: the one function that decides it also stops the reading.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -67,7 +67,9 @@
     /// Enforces the time limits.
     void check_time(time_point now);
 
-    bool says_close(const caller_slot& slot) const;
+    /// Decides whether the answer of the slot says that it is the last one.
+    /// Then nothing is read behind it.
+    bool ends_with(caller_slot& slot);
 
 private:
     static void on_readable(bufferevent* stream, void* self);
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -190,12 +190,16 @@
     flush();
 }
 
-bool caller_connection::says_close(const caller_slot& slot) const
+// A request that was read behind the last answer would be worked on and then
+// cut: the answer may wait for its turn, or be streamed for long.
+bool caller_connection::ends_with(caller_slot& slot)
 {
-    if (!slot.keep_alive)
-        return true;
     const bool last = !slots_.empty() && slots_.back().get() == &slot;
-    return host_.closing && last && !reader_.in_message();
+    if (host_.closing && last && !reader_.in_message())
+        slot.keep_alive = false;
+    if (!slot.keep_alive)
+        closing_ = true;
+    return !slot.keep_alive;
 }
 
 void caller_connection::send(caller_slot& slot, std::string_view bytes)
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -112,9 +112,7 @@
     }
     start_body(status, length);
     auto& connection = *slot_->connection;
-    const bool close = connection.says_close(*slot_);
-    if (close)
-        slot_->keep_alive = false;
+    const bool close = connection.ends_with(*slot_);
     const auto framing = slot_->has_body ? framing_line(*slot_) : "";
     connection.send(
         *slot_, detail::format_answer_head(status, headers, framing, close));
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -2,6 +2,7 @@
 #include "io_support.hpp"
 
 #include <rapidcheck/gtest.h>
+#include <sys/resource.h>
 
 namespace {
 
@@ -269,6 +270,41 @@
     }
 }
 
+// Request 3 was passed on and then cut: the answer to 2, which was ready
+// before that to 1, had already said that it is the last.
+TEST(CallerServer, NothingIsReadOnceAnAnswerSaysThatItIsTheLast)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(2);
+    s.server.announce_close();
+    s.held[1]->reply(200, {}, "second");
+    caller->send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(s.loop, 50ms);
+    EXPECT_EQ(s.requests.size(), 2u);
+    s.held[0]->reply(200, {}, "first");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_NE(position(*caller, "second"), std::string::npos);
+}
+
+TEST(CallerServer, NothingIsReadBehindAStreamThatSaysThatItIsTheLast)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.server.announce_close();
+    s.held[0]->begin(200, {}, std::nullopt);
+    caller->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(s.loop, 50ms);
+    EXPECT_EQ(s.requests.size(), 1u);
+    s.held[0]->finish();
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_NE(position(*caller, "0\r\n\r\n"), std::string::npos);
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
