Let an answer that is dropped cost no request before it

What callers would see: of requests that were sent one behind the other, the answer to a later one is given up (its stream broke, a step failed), and the earlier ones end without an answer though targets work on them (LOST).

Cause: dropping an exchange ended the connection at once, whatever place its request had, and with it answers that were whole but not yet written.

Ruled out: answering in its place when nothing of it has gone out. It would save the requests behind it too; the exchange's contract says that dropping it breaks the connection off, and a test of failed callbacks relies on that.

Why it works: the place is marked as broken. Requests behind it are dropped at once, since they cannot be answered; those before it get their answers; then the connection ends. A handler that throws costs no more than its own request and those behind.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -26,7 +26,8 @@
     bool chunked = false;
     std::uint64_t left = 0; ///< of a body with a length
     bool finished = false;
-    std::string held; ///< answer bytes behind those of earlier requests
+    bool broken = false; ///< the connection ends at its turn
+    std::string held;    ///< answer bytes behind those of earlier requests
 
     static void notify_gone(caller_exchange& owner);
 };
@@ -56,7 +57,11 @@
     void send(caller_slot& slot, std::string_view bytes);
     void finish(caller_slot& slot);
 
-    /// The answer of the slot cannot be completed.
+    /// The answer of the slot cannot be completed: those before it still go
+    /// out, then the connection ends.
+    void break_off(caller_slot& slot);
+
+    /// Ends the connection at once.
     void break_off();
 
     std::size_t pending_bytes(const caller_slot& slot) const;
@@ -84,7 +89,7 @@
     void take_request();
     void refuse(int status, std::string_view reason);
     void flush();
-    void drop_slots();
+    void drop_slots(std::size_t kept = 0);
     void close_gracefully();
     void end();
 
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -170,8 +170,10 @@
     ++host_.in_flight;
     auto exchange = std::make_unique<caller_exchange>(slot);
     slot.owner = exchange.get();
-    // The parser is on the stack, and it is not made for exceptions.
-    guard("take request", [&] { host_.handle(std::move(exchange)); });
+    // The parser is on the stack, and it is not made for exceptions. What
+    // was dropped on the way ends the connection at its turn.
+    host_.loop->guard("take request", "",
+                      [&] { host_.handle(std::move(exchange)); });
 }
 
 // Answers of earlier requests still go out; what follows is not read.
@@ -221,6 +223,10 @@
 {
     while (!slots_.empty()) {
         auto& front = *slots_.front();
+        if (front.broken) {
+            drop_slots();
+            break;
+        }
         if (!front.held.empty()) {
             bufferevent_write(stream_.get(), front.held.data(),
                               front.held.size());
@@ -259,6 +265,18 @@
     ::shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
 }
 
+// Requests behind it cannot be answered here, and are not worked on further.
+void caller_connection::break_off(caller_slot& slot)
+{
+    slot.broken = true;
+    slot.held.clear();
+    closing_ = true;
+    const auto found = std::ranges::find(
+        slots_, &slot, [](const auto& each) { return each.get(); });
+    drop_slots(static_cast<std::size_t>(found - slots_.begin()) + 1);
+    flush();
+}
+
 void caller_connection::break_off()
 {
     if (!ended_)
@@ -276,10 +294,13 @@
 }
 
 // Requests that get no answer here: the connection ends before their turn.
-void caller_connection::drop_slots()
+void caller_connection::drop_slots(std::size_t kept)
 {
-    auto slots = std::move(slots_);
-    slots_.clear();
+    std::vector<std::unique_ptr<caller_slot>> slots;
+    while (slots_.size() > kept) {
+        slots.push_back(std::move(slots_.back()));
+        slots_.pop_back();
+    }
     host_.in_flight -= slots.size();
     for (auto& slot : slots)
         slot->connection = nullptr;
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -55,7 +55,7 @@
         return;
     slot_->owner = nullptr;
     if (slot_->connection && !slot_->finished)
-        slot_->connection->break_off();
+        slot_->connection->break_off(*slot_);
 }
 
 http_request caller_exchange::take_request()
@@ -98,7 +98,7 @@
 {
     auto* slot = std::exchange(slot_, nullptr);
     slot->owner = nullptr;
-    slot->connection->break_off();
+    slot->connection->break_off(*slot);
 }
 
 void caller_exchange::begin(int status, const header_list& headers,
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -305,6 +305,26 @@
     EXPECT_NE(position(*caller, "0\r\n\r\n"), std::string::npos);
 }
 
+// The connection was broken off at once, with the requests before it.
+TEST(CallerServer, ADroppedAnswerCostsNoRequestBeforeIt)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(3);
+    s.held[1]->begin(200, {}, 100);
+    s.held[1]->write("half");
+    s.held[1].reset();
+    run_for(s.loop, 20ms);
+    EXPECT_FALSE(caller->closed);
+    s.held[0]->reply(200, {}, "first");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_NE(position(*caller, "first"), std::string::npos);
+    EXPECT_EQ(s.server.in_flight(), 0u);
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
