Refuse headers that take too long only once

What callers would see: a request is worked on, and the headers of the next one take longer than allowed.

Cause: the check looked whether headers were being read, not whether they had been refused; the connection stays while an earlier answer is due.

Evidence: the new test failed on the code before: a second 408 at byte 174 after 1.7 s.

Why it works: a connection from which nothing more is read is not checked.

--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -335,7 +335,8 @@
             end();
         return;
     }
-    if (reader_.in_message() && !headers_read_ &&
+    // Once only: answers to earlier requests may still be due.
+    if (!closing_ && reader_.in_message() && !headers_read_ &&
         now - message_since_ > host_.limits.header_timeout)
         refuse(status_timeout, "the headers took too long");
     if (now - idle_since_ > host_.limits.idle_timeout + idle_slack)
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -325,6 +325,23 @@
     EXPECT_EQ(s.server.in_flight(), 0u);
 }
 
+// Each sweep refused it once more while an earlier request was worked on.
+TEST(CallerServer, SlowHeadersBehindARequestAreRefusedOnce)
+{
+    caller_server_limits limits;
+    limits.header_timeout = 100ms;
+    served s(limits);
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HT");
+    s.await(1);
+    run_for(s.loop, 1700ms);
+    s.held[0]->reply(200, {}, "first");
+    run_until(s.loop, [&] { return caller->closed; });
+    const auto refusal = position(*caller, " 408 ");
+    ASSERT_NE(refusal, std::string::npos);
+    EXPECT_EQ(caller->received.find(" 408 ", refusal + 1), std::string::npos);
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
