End answers without a body at their head

What callers would see: a target's 304 that names the length of the whole answer, as HTTP allows, or a 204 with a length, is waited for until the deadline and ends as 504. The target counts as silent.

Cause: http_parser reads a body whenever there is a length; that these answers have none was only looked at for those without a length.

Evidence: the new test failed on the code before for both (not done after 50 ms).

Why it works: the reader tells the parser to skip the body for 1xx, 204 and 304, as it does for answers to HEAD. Bytes that a target sends there all the same belong to no request and end the connection.

--- a/src/io/http1_reader.cpp
+++ b/src/io/http1_reader.cpp
@@ -15,15 +15,20 @@
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 
+// These end with their head, whatever length it names.
+bool is_bodyless_answer(const http_parser& parser)
+{
+    const auto status = static_cast<int>(parser.status_code);
+    return parser.type == HTTP_RESPONSE &&
+           (status < first_final_status || status == status_no_content ||
+            status == status_not_modified);
+}
+
 // An answer with a body of which no header tells the end.
 bool lasts_until_close(const http_parser& parser)
 {
-    const auto status = static_cast<int>(parser.status_code);
-    const bool has_body =
-        parser.type == HTTP_RESPONSE && status >= first_final_status &&
-        status != status_no_content && status != status_not_modified;
-    return has_body && !(parser.flags & F_CHUNKED) &&
-           parser.content_length == ULLONG_MAX;
+    return parser.type == HTTP_RESPONSE && !is_bodyless_answer(parser) &&
+           !(parser.flags & F_CHUNKED) && parser.content_length == ULLONG_MAX;
 }
 
 } // namespace
@@ -139,7 +144,8 @@
     head.ends_with_connection = lasts_until_close(*parser);
     const bool interim =
         parser->type == HTTP_RESPONSE && head.status < first_final_status;
-    const bool no_body = reader.no_body_ && !interim;
+    const bool no_body =
+        is_bodyless_answer(*parser) || (reader.no_body_ && !interim);
     reader.handlers_.on_head(std::move(head));
     return no_body ? skip_body : 0;
 }
--- a/test/target_pool.cpp
+++ b/test/target_pool.cpp
@@ -246,6 +246,21 @@
     EXPECT_FALSE(one.ended());
 }
 
+// 304 may say the length that the whole answer would have; that body was
+// waited for until the deadline.
+TEST(TargetPool, AnAnswerThatHasNoBodyEndsWithItsHead)
+{
+    for (const std::string_view status : {"304 Not Modified", "204 None"}) {
+        pooled p;
+        noted call;
+        p.start(call);
+        p.await_request().send("HTTP/1.1 " + std::string(status) +
+                               "\r\nId: 1\r\nContent-Length: 5\r\n\r\n");
+        run_for(p.loop, 50ms);
+        EXPECT_TRUE(call.done) << status;
+    }
+}
+
 TEST(TargetPool, InterimAnswersAreSkipped)
 {
     pooled p;
