Refuse messages that can be read in two ways

The body of a CONNECT was read as the next request. `Content-Length : 32`, with a space before the colon, was no length here, so that the body was read as a request, and was passed on to targets as it stood. Of a body in the transfer coding `gzip, chunked` the coded bytes were passed on without a word of the coding, in both directions. Two Host headers were taken; one decided.

Cause: http_parser leaves these to its user. It refuses by itself a length beside chunks, lengths that differ, chunks that are not last, a NUL and a lone CR in a value; the test holds it to that.

Why it works: one check when the headers are complete, before anybody sees them. Such a request gets 400 behind the answers that are due, and the connection ends; such an answer counts as lost.

--- a/src/io/http1_reader.cpp
+++ b/src/io/http1_reader.cpp
@@ -1,5 +1,6 @@
 #include "vanillapost/src/io/detail/http1_reader.hpp"
 
+#include <algorithm>
 #include <climits>
 
 namespace vanillapost::io::detail {
@@ -24,6 +25,25 @@
             status == status_not_modified);
 }
 
+// Whether all who read the message find the same end of it. The parser itself
+// refuses a length beside chunks and lengths that differ.
+bool has_one_meaning(const message_head& head)
+{
+    const auto count = [&](std::string_view name) {
+        return std::ranges::count_if(head.headers, [&](const auto& field) {
+            return same_header_name(field.name, name);
+        });
+    };
+    const auto coding = find_header(head.headers, "Transfer-Encoding");
+    const bool plain = !coding || (same_header_name(*coding, "chunked") &&
+                                   count("Transfer-Encoding") == 1);
+    // The parser takes a space before the colon for a part of the name.
+    const bool names = std::ranges::none_of(head.headers, [](const auto& f) {
+        return f.name.find(' ') != std::string::npos;
+    });
+    return plain && names && count("Host") <= 1;
+}
+
 // An answer with a body of which no header tells the end.
 bool lasts_until_close(const http_parser& parser)
 {
@@ -137,6 +157,11 @@
     auto& reader = self(parser);
     reader.headers_done_ = true;
     auto& head = reader.head_;
+    // What follows CONNECT is no HTTP: its body would be read as a request.
+    const bool tunnel =
+        parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT;
+    if (tunnel || !has_one_meaning(head))
+        return stop_parsing;
     head.status = static_cast<int>(parser->status_code);
     if (parser->type == HTTP_REQUEST)
         head.method = http_method_str(static_cast<http_method>(parser->method));
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -342,6 +342,55 @@
     EXPECT_EQ(caller->received.find(" 408 ", refusal + 1), std::string::npos);
 }
 
+// Its body was read as the next request.
+TEST(CallerServer, NothingIsSmuggledInABodyOfConnect)
+{
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+    served s;
+    auto caller = s.connect();
+    caller->send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                 std::to_string(inner.size()) + "\r\n\r\n" + inner);
+    run_until(s.loop, [&] { return caller->closed || !s.requests.empty(); });
+    EXPECT_TRUE(s.requests.empty());
+    EXPECT_NE(position(*caller, " 400 "), std::string::npos);
+}
+
+// Each holds a request in what one reader takes for a body.
+TEST(CallerServer, RequestsThatCouldBeReadInTwoWaysAreRefusedAlone)
+{
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+    const auto length = std::to_string(inner.size());
+    const std::vector<std::string> heads = {
+        "Content-Length: " + length + "\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: " + length,
+        "Content-Length: 0\r\nContent-Length: " + length,
+        "Content-Length: " + length + ", 0",
+        "Content-Length: +" + length,
+        "Content-Length : " + length,
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding : chunked",
+        "Host: b",
+        "X: a\rTransfer-Encoding: chunked",
+        std::string("X: a\0b", 6)};
+    for (const auto& head : heads) {
+        served s;
+        auto earlier = s.connect();
+        earlier->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.await(1);
+        earlier->send("POST /2 HTTP/1.1\r\nHost: a\r\n" + head +
+                      "\r\n\r\n0\r\n\r\n" + inner);
+        run_for(s.loop, 20ms);
+        EXPECT_EQ(s.requests.size(), 1u) << head;
+        s.held[0]->reply(200, {}, "first");
+        run_until(s.loop, [&] { return earlier->closed; });
+        EXPECT_NE(position(*earlier, "first"), std::string::npos) << head;
+        EXPECT_NE(position(*earlier, " 400 "), std::string::npos) << head;
+    }
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
--- a/test/target_pool.cpp
+++ b/test/target_pool.cpp
@@ -261,6 +261,19 @@
     }
 }
 
+// Its coding would be lost on the way, and its bytes passed on as the body.
+TEST(TargetPool, AnAnswerWithACodedTransferFails)
+{
+    pooled p;
+    noted call;
+    p.serve(call, "HTTP/1.1 200 OK\r\nId: 1\r\n"
+                  "Transfer-Encoding: gzip, chunked\r\n\r\n"
+                  "3\r\nabc\r\n0\r\n\r\n");
+    ASSERT_TRUE(call.failure);
+    EXPECT_TRUE(call.failure->sent);
+    EXPECT_TRUE(call.body.empty());
+}
+
 TEST(TargetPool, InterimAnswersAreSkipped)
 {
     pooled p;
