Let the listener wait when descriptors run out

What users would see: with no descriptor left, a router uses its processor for nothing but failing accepts, and writes a warning for each to its log.

Cause: the connection stays in the queue, so libevent finds the listener ready on every turn.

Why it works: a failed accept pauses the listener for 100 ms. Connections wait in the queue and are taken when there is room.

--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -17,6 +17,9 @@
 
 constexpr int listen_backlog = 1024;
 constexpr duration sweep_interval = 500ms;
+/// Connections that cannot be accepted stay ready: without descriptors the
+/// loop would do nothing else.
+constexpr duration accept_pause = 100ms;
 constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -167,9 +170,11 @@
     std::unique_ptr<evconnlistener, decltype(&evconnlistener_free)> listener{
         nullptr, &evconnlistener_free};
     timer sweep;
+    timer accept_again;
 
     state(event_loop& loop, caller_server_limits limits, handler handle)
-        : sweep(loop, [this] { check_time(); })
+        : sweep(loop, [this] { check_time(); }),
+          accept_again(loop, [this] { resume_accepting(); })
     {
         host.loop = &loop;
         host.limits = limits;
@@ -186,6 +191,21 @@
                                 [&] { server.accept(socket); });
     }
 
+    static void on_accept_error(evconnlistener* listener, void* self)
+    {
+        auto& server = *static_cast<state*>(self);
+        server.host.loop->guard("pause accepting", "", [&] {
+            evconnlistener_disable(listener);
+            server.accept_again.start_once(accept_pause);
+        });
+    }
+
+    void resume_accepting()
+    {
+        if (listener)
+            evconnlistener_enable(listener.get());
+    }
+
     void accept(evutil_socket_t socket)
     {
         if (connections.size() >= host.limits.max_connections) {
@@ -239,6 +259,8 @@
         listen_backlog, local.get(), local.length));
     if (!state_->listener)
         throw error("listen", to_string(where), detail::last_error_text());
+    evconnlistener_set_error_cb(state_->listener.get(),
+                                &state::on_accept_error);
     return detail::local_address(evconnlistener_get_fd(state_->listener.get()));
 }
 
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -391,6 +391,29 @@
     }
 }
 
+// The listener woke the loop again and again.
+TEST(CallerServer, WithoutDescriptorsTheListenerWaits)
+{
+    static int warnings = 0;
+    event_set_log_callback([](int, const char*) { ++warnings; });
+    served s;
+    const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    rlimit usual{};
+    getrlimit(RLIMIT_NOFILE, &usual);
+    rlimit none = usual;
+    none.rlim_cur = static_cast<rlim_t>(socket) + 1;
+    setrlimit(RLIMIT_NOFILE, &none);
+    auto target = detail::to_socket_address(s.where);
+    ASSERT_EQ(::connect(socket, target.get(), target.length), 0);
+    run_for(s.loop, 250ms);
+    setrlimit(RLIMIT_NOFILE, &usual);
+    EXPECT_LE(warnings, 3);
+    EXPECT_EQ(s.server.connections(), 0u);
+    run_until(s.loop, [&] { return s.server.connections() == 1; });
+    ::close(socket);
+    event_set_log_callback(nullptr);
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
