Count no connection as idle whose request waits with the kernel

They may send it again, but have lost the time.

Evidence: the new test failed on the code before: no request was read within 20 s, the connection was closed.

Why it works: the kernel is asked how many bytes wait, only when a connection is about to be closed. What comes after that question still crosses the close and was not read.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -90,6 +90,7 @@
     void refuse(int status, std::string_view reason);
     void flush();
     void drop_slots(std::size_t kept = 0);
+    bool has_unread() const;
     void close_gracefully();
     void end();
 
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <event2/event.h>
+#include <sys/ioctl.h>
 
 namespace vanillapost::io::detail {
 
@@ -318,13 +319,22 @@
            evbuffer_get_length(bufferevent_get_output(stream_.get()));
 }
 
+// After a time in which the loop did not run, the kernel holds bytes that came
+// long before the connection counts as idle.
+bool caller_connection::has_unread() const
+{
+    int waiting = 0;
+    if (::ioctl(bufferevent_getfd(stream_.get()), FIONREAD, &waiting) != 0)
+        waiting = 0;
+    const auto* input = bufferevent_get_input(stream_.get());
+    return waiting > 0 || evbuffer_get_length(input) > 0;
+}
+
 // At once, without reading on: a request that crosses the close was then never
 // read, and its caller may send it again whatever its kind.
 void caller_connection::close_if_idle()
 {
-    const bool unread =
-        evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0;
-    if (slots_.empty() && !reader_.in_message() && !closing_ && !unread)
+    if (slots_.empty() && !reader_.in_message() && !closing_ && !has_unread())
         end();
 }
 
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -414,6 +414,20 @@
     event_set_log_callback(nullptr);
 }
 
+// It had come while the loop was at something else, and was closed unread.
+TEST(CallerServer, ARequestThatWaitsUnreadIsNoIdleConnection)
+{
+    served s;
+    auto caller = s.connect();
+    run_until(s.loop, [&] { return s.server.connections() == 1; });
+    caller->send_now("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.server.stop_accepting();
+    s.await(1);
+    ASSERT_EQ(s.requests.size(), 1u);
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "first");
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
--- a/test/io_support.hpp
+++ b/test/io_support.hpp
@@ -64,6 +64,14 @@
         bufferevent_write(stream_.get(), bytes.data(), bytes.size());
     }
 
+    /// Past the loop: the bytes are with the kernel when it returns.
+    void send_now(std::string_view bytes)
+    {
+        const auto sent = ::send(bufferevent_getfd(stream_.get()), bytes.data(),
+                                 bytes.size(), 0);
+        ASSERT_EQ(sent, static_cast<ssize_t>(bytes.size()));
+    }
+
     void close()
     {
         // Freeing alone would close it on a later turn of the loop.
