Keep the idle time-out that a caller was answered under

Their next requests cross the close and have to be sent again.

Evidence: the new test failed on the code before: the connection was closed 1.3 s after the change, and the second request found nobody.

Why it works: a connection keeps the time-out that was in force when it became idle; a longer one counts at once. The shorter one holds from its next answer.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -91,6 +91,7 @@
     void flush();
     void drop_slots(std::size_t kept = 0);
     bool has_unread() const;
+    void note_idle();
     void close_gracefully();
     void end();
 
@@ -108,6 +109,7 @@
     bool ended_ = false;
     time_point message_since_{}; ///< its first byte
     time_point idle_since_{};
+    duration idle_limit_{}; ///< in force when it became idle
     time_point closing_since_{};
 };
 
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -57,9 +57,9 @@
       reader_(message_side::request,
               {[this](message_head&& head) { take_head(std::move(head)); },
                [this](std::string_view bytes) { take_body(bytes); },
-               [this] { take_request(); }}),
-      idle_since_(host.loop->now())
+               [this] { take_request(); }})
 {
+    note_idle();
     set_no_delay(socket);
     stream_.reset(bufferevent_socket_new(host.loop->base(), socket,
                                          BEV_OPT_CLOSE_ON_FREE));
@@ -243,7 +243,7 @@
             drop_slots();
         }
     }
-    idle_since_ = host_.loop->now();
+    note_idle();
     if (closing_) {
         close_gracefully();
         return;
@@ -254,6 +254,14 @@
         bufferevent_trigger(stream_.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+// A caller relies on the time-out that was in force when it got its answer,
+// also when a configuration shortens it meanwhile.
+void caller_connection::note_idle()
+{
+    idle_since_ = host_.loop->now();
+    idle_limit_ = host_.limits.idle_timeout;
+}
+
 void caller_connection::close_gracefully()
 {
     closing_ = true;
@@ -349,7 +357,8 @@
     if (!closing_ && reader_.in_message() && !headers_read_ &&
         now - message_since_ > host_.limits.header_timeout)
         refuse(status_timeout, "the headers took too long");
-    if (now - idle_since_ > host_.limits.idle_timeout + idle_slack)
+    const auto limit = std::max(idle_limit_, host_.limits.idle_timeout);
+    if (now - idle_since_ > limit + idle_slack)
         close_if_idle();
 }
 
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -428,6 +428,29 @@
     s.await_text(*caller, "first");
 }
 
+// Its caller relied on the time-out of its last answer; the close crossed its
+// next request.
+TEST(CallerServer, AShorterIdleTimeoutClosesNoConnectionThatIsIdleAlready)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "first");
+    caller_server_limits shorter;
+    shorter.idle_timeout = 100ms;
+    s.server.set_limits(shorter);
+    run_for(s.loop, 1300ms);
+    EXPECT_FALSE(caller->closed);
+    caller->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_until(s.loop, [&] { return caller->closed || s.held.size() == 2; });
+    ASSERT_EQ(s.held.size(), 2u);
+    s.held[1]->reply(200, {}, "second");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_NE(position(*caller, "second"), std::string::npos);
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
