Tell a caller that asks first to go on at its turn

What callers would see: a request with `Expect: 100-continue` behind another on its connection is never told to go on. A caller that waits for it sends its body late or not at all.

Cause: it was told only where no earlier request was open at that moment.

Evidence: the new test failed on the code before: nothing followed the first answer.

Why it works: it is noted, and told once the answers before it have gone out, unless the body has come meanwhile or nothing more is read.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -92,6 +92,7 @@
     void drop_slots(std::size_t kept = 0);
     bool has_unread() const;
     void note_idle();
+    void tell_to_go_on();
     void close_gracefully();
     void end();
 
@@ -103,6 +104,7 @@
     std::unique_ptr<caller_slot> incoming_;
     bool headers_read_ = false;
     bool body_too_large_ = false;
+    bool wants_go_on_ = false; ///< its caller waits before it sends the body
     bool closing_ = false;     ///< nothing more is read
     bool wrote_close_ = false; ///< our side is shut down
     bool reading_ = false;
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -144,11 +144,19 @@
     incoming_->request.method = std::move(head.method);
     incoming_->request.target = std::move(head.target);
     incoming_->request.headers = std::move(head.headers);
-    const auto expect = find_header(incoming_->request.headers, "Expect");
-    if (expect && slots_.empty()) {
-        constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
-        bufferevent_write(stream_.get(), go_on.data(), go_on.size());
-    }
+    wants_go_on_ =
+        find_header(incoming_->request.headers, "Expect").has_value();
+    tell_to_go_on();
+}
+
+// Behind the answers to earlier requests.
+void caller_connection::tell_to_go_on()
+{
+    constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (!wants_go_on_ || !slots_.empty() || closing_)
+        return;
+    wants_go_on_ = false;
+    bufferevent_write(stream_.get(), go_on.data(), go_on.size());
 }
 
 void caller_connection::take_body(std::string_view bytes)
@@ -164,6 +172,7 @@
 {
     if (body_too_large_)
         return;
+    wants_go_on_ = false;
     slots_.push_back(std::move(incoming_));
     auto& slot = *slots_.back();
     if (!slot.keep_alive)
@@ -248,6 +257,7 @@
         close_gracefully();
         return;
     }
+    tell_to_go_on();
     // Requests may have waited for room in the pipeline.
     if (!reading_ &&
         evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0)
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -451,6 +451,28 @@
     EXPECT_NE(position(*caller, "second"), std::string::npos);
 }
 
+// It was told so only on a connection without earlier requests, and waited.
+TEST(CallerServer, ACallerThatAsksFirstIsToldToGoOnAtItsTurn)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                 "Expect: 100-continue\r\n\r\n");
+    s.await(1);
+    run_for(s.loop, 20ms);
+    EXPECT_TRUE(caller->received.empty());
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "first");
+    run_for(s.loop, 50ms);
+    EXPECT_TRUE(
+        caller->received.ends_with("firstHTTP/1.1 100 Continue\r\n\r\n"));
+    caller->send("ok");
+    s.await(2);
+    ASSERT_EQ(s.requests.size(), 2u);
+    EXPECT_EQ(s.requests[1].body, "ok");
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
