--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -494,6 +494,24 @@
     s.await_text(*caller, "second");
 }
 
+// The sweep once took the time since the last answer for idle while the next
+// request was read, and dropped that request.
+TEST(CallerServer, ARequestThatIsBeingReadIsNoIdleConnection)
+{
+    caller_server_limits limits;
+    limits.idle_timeout = 100ms;
+    served s(limits);
+    auto caller = s.connect();
+    caller->send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nha");
+    run_for(s.loop, 1300ms);
+    EXPECT_FALSE(caller->closed);
+    caller->send("lf");
+    run_until(s.loop, [&] { return caller->closed || !s.held.empty(); });
+    ASSERT_EQ(s.held.size(), 1u);
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "first");
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
