--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <event2/event.h>
+#include <sys/ioctl.h>
 
 namespace vanillapost::io::detail {
 
@@ -56,9 +57,9 @@
       reader_(message_side::request,
               {[this](message_head&& head) { take_head(std::move(head)); },
                [this](std::string_view bytes) { take_body(bytes); },
-               [this] { take_request(); }}),
-      idle_since_(host.loop->now())
+               [this] { take_request(); }})
 {
+    note_idle();
     set_no_delay(socket);
     stream_.reset(bufferevent_socket_new(host.loop->base(), socket,
                                          BEV_OPT_CLOSE_ON_FREE));
@@ -143,11 +144,19 @@
     incoming_->request.method = std::move(head.method);
     incoming_->request.target = std::move(head.target);
     incoming_->request.headers = std::move(head.headers);
-    const auto expect = find_header(incoming_->request.headers, "Expect");
-    if (expect && slots_.empty()) {
-        constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
-        bufferevent_write(stream_.get(), go_on.data(), go_on.size());
-    }
+    wants_go_on_ =
+        find_header(incoming_->request.headers, "Expect").has_value();
+    tell_to_go_on();
+}
+
+// Behind the answers to earlier requests.
+void caller_connection::tell_to_go_on()
+{
+    constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (!wants_go_on_ || !slots_.empty() || closing_)
+        return;
+    wants_go_on_ = false;
+    bufferevent_write(stream_.get(), go_on.data(), go_on.size());
 }
 
 void caller_connection::take_body(std::string_view bytes)
@@ -163,6 +172,7 @@
 {
     if (body_too_large_)
         return;
+    wants_go_on_ = false;
     slots_.push_back(std::move(incoming_));
     auto& slot = *slots_.back();
     if (!slot.keep_alive)
@@ -170,8 +180,10 @@
     ++host_.in_flight;
     auto exchange = std::make_unique<caller_exchange>(slot);
     slot.owner = exchange.get();
-    // The parser is on the stack, and it is not made for exceptions.
-    guard("take request", [&] { host_.handle(std::move(exchange)); });
+    // The parser is on the stack, and it is not made for exceptions. What
+    // was dropped on the way ends the connection at its turn.
+    host_.loop->guard("take request", "",
+                      [&] { host_.handle(std::move(exchange)); });
 }
 
 // Answers of earlier requests still go out; what follows is not read.
@@ -190,12 +202,16 @@
     flush();
 }
 
-bool caller_connection::says_close(const caller_slot& slot) const
+// A request that was read behind the last answer would be worked on and then
+// cut: the answer may wait for its turn, or be streamed for long.
+bool caller_connection::ends_with(caller_slot& slot)
 {
-    if (!slot.keep_alive)
-        return true;
     const bool last = !slots_.empty() && slots_.back().get() == &slot;
-    return host_.closing && last && !reader_.in_message();
+    if (host_.closing && last && !reader_.in_message())
+        slot.keep_alive = false;
+    if (!slot.keep_alive)
+        closing_ = true;
+    return !slot.keep_alive;
 }
 
 void caller_connection::send(caller_slot& slot, std::string_view bytes)
@@ -217,6 +233,10 @@
 {
     while (!slots_.empty()) {
         auto& front = *slots_.front();
+        if (front.broken) {
+            drop_slots();
+            break;
+        }
         if (!front.held.empty()) {
             bufferevent_write(stream_.get(), front.held.data(),
                               front.held.size());
@@ -232,17 +252,26 @@
             drop_slots();
         }
     }
-    idle_since_ = host_.loop->now();
+    note_idle();
     if (closing_) {
         close_gracefully();
         return;
     }
+    tell_to_go_on();
     // Requests may have waited for room in the pipeline.
     if (!reading_ &&
         evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0)
         bufferevent_trigger(stream_.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+// A caller relies on the time-out that was in force when it got its answer,
+// also when a configuration shortens it meanwhile.
+void caller_connection::note_idle()
+{
+    idle_since_ = host_.loop->now();
+    idle_limit_ = host_.limits.idle_timeout;
+}
+
 void caller_connection::close_gracefully()
 {
     closing_ = true;
@@ -255,6 +284,18 @@
     ::shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
 }
 
+// Requests behind it cannot be answered here, and are not worked on further.
+void caller_connection::break_off(caller_slot& slot)
+{
+    slot.broken = true;
+    slot.held.clear();
+    closing_ = true;
+    const auto found = std::ranges::find(
+        slots_, &slot, [](const auto& each) { return each.get(); });
+    drop_slots(static_cast<std::size_t>(found - slots_.begin()) + 1);
+    flush();
+}
+
 void caller_connection::break_off()
 {
     if (!ended_)
@@ -272,10 +313,13 @@
 }
 
 // Requests that get no answer here: the connection ends before their turn.
-void caller_connection::drop_slots()
+void caller_connection::drop_slots(std::size_t kept)
 {
-    auto slots = std::move(slots_);
-    slots_.clear();
+    std::vector<std::unique_ptr<caller_slot>> slots;
+    while (slots_.size() > kept) {
+        slots.push_back(std::move(slots_.back()));
+        slots_.pop_back();
+    }
     host_.in_flight -= slots.size();
     for (auto& slot : slots)
         slot->connection = nullptr;
@@ -293,13 +337,22 @@
            evbuffer_get_length(bufferevent_get_output(stream_.get()));
 }
 
+// After a time in which the loop did not run, the kernel holds bytes that came
+// long before the connection counts as idle.
+bool caller_connection::has_unread() const
+{
+    int waiting = 0;
+    if (::ioctl(bufferevent_getfd(stream_.get()), FIONREAD, &waiting) != 0)
+        waiting = 0;
+    const auto* input = bufferevent_get_input(stream_.get());
+    return waiting > 0 || evbuffer_get_length(input) > 0;
+}
+
 // At once, without reading on: a request that crosses the close was then never
 // read, and its caller may send it again whatever its kind.
 void caller_connection::close_if_idle()
 {
-    const bool unread =
-        evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0;
-    if (slots_.empty() && !reader_.in_message() && !closing_ && !unread)
+    if (slots_.empty() && !reader_.in_message() && !closing_ && !has_unread())
         end();
 }
 
@@ -310,10 +363,12 @@
             end();
         return;
     }
-    if (reader_.in_message() && !headers_read_ &&
+    // Once only: answers to earlier requests may still be due.
+    if (!closing_ && reader_.in_message() && !headers_read_ &&
         now - message_since_ > host_.limits.header_timeout)
         refuse(status_timeout, "the headers took too long");
-    if (now - idle_since_ > host_.limits.idle_timeout + idle_slack)
+    const auto limit = std::max(idle_limit_, host_.limits.idle_timeout);
+    if (now - idle_since_ > limit + idle_slack)
         close_if_idle();
 }
 
--- a/src/io/http1_reader.cpp
+++ b/src/io/http1_reader.cpp
@@ -1,5 +1,6 @@
 #include "vanillapost/src/io/detail/http1_reader.hpp"
 
+#include <algorithm>
 #include <climits>
 
 namespace vanillapost::io::detail {
@@ -15,15 +16,39 @@
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 
+// These end with their head, whatever length it names.
+bool is_bodyless_answer(const http_parser& parser)
+{
+    const auto status = static_cast<int>(parser.status_code);
+    return parser.type == HTTP_RESPONSE &&
+           (status < first_final_status || status == status_no_content ||
+            status == status_not_modified);
+}
+
+// Whether all who read the message find the same end of it. The parser itself
+// refuses a length beside chunks and lengths that differ.
+bool has_one_meaning(const message_head& head)
+{
+    const auto count = [&](std::string_view name) {
+        return std::ranges::count_if(head.headers, [&](const auto& field) {
+            return same_header_name(field.name, name);
+        });
+    };
+    const auto coding = find_header(head.headers, "Transfer-Encoding");
+    const bool plain = !coding || (same_header_name(*coding, "chunked") &&
+                                   count("Transfer-Encoding") == 1);
+    // The parser takes a space before the colon for a part of the name.
+    const bool names = std::ranges::none_of(head.headers, [](const auto& f) {
+        return f.name.find(' ') != std::string::npos;
+    });
+    return plain && names && count("Host") <= 1;
+}
+
 // An answer with a body of which no header tells the end.
 bool lasts_until_close(const http_parser& parser)
 {
-    const auto status = static_cast<int>(parser.status_code);
-    const bool has_body =
-        parser.type == HTTP_RESPONSE && status >= first_final_status &&
-        status != status_no_content && status != status_not_modified;
-    return has_body && !(parser.flags & F_CHUNKED) &&
-           parser.content_length == ULLONG_MAX;
+    return parser.type == HTTP_RESPONSE && !is_bodyless_answer(parser) &&
+           !(parser.flags & F_CHUNKED) && parser.content_length == ULLONG_MAX;
 }
 
 } // namespace
@@ -52,16 +77,45 @@
         return made;
     }();
     complete_ = false;
-    used = http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
-    if (complete_) {
-        http_parser_pause(&parser_, 0);
-        return read_result::complete;
+    used = 0;
+    do {
+        const auto part = next_part(bytes.substr(used));
+        if (!headers_done_ && has_lone_cr(part))
+            return read_result::malformed;
+        const auto taken =
+            http_parser_execute(&parser_, &settings, part.data(), part.size());
+        used += taken;
+        if (complete_) {
+            http_parser_pause(&parser_, 0);
+            return read_result::complete;
+        }
+        if (headers_too_large_)
+            return read_result::headers_too_large;
+        const bool failed =
+            HTTP_PARSER_ERRNO(&parser_) != HPE_OK || taken != part.size();
+        if (failed)
+            return read_result::malformed;
+    } while (used < bytes.size());
+    return read_result::need_more;
+}
+
+// A line of a head, or all that there is of a body.
+std::string_view http1_reader::next_part(std::string_view bytes) const
+{
+    const auto line_end = bytes.find('\n');
+    const bool whole = headers_done_ || line_end == std::string_view::npos;
+    return whole ? bytes : bytes.substr(0, line_end + 1);
+}
+
+// The parser ends a head at a CR whatever follows it.
+bool http1_reader::has_lone_cr(std::string_view part)
+{
+    for (const char c : part) {
+        if (after_cr_ && c != '\n')
+            return true;
+        after_cr_ = c == '\r';
     }
-    if (headers_too_large_)
-        return read_result::headers_too_large;
-    const bool failed = HTTP_PARSER_ERRNO(&parser_) != HPE_OK ||
-                        parser_.upgrade || used != bytes.size();
-    return failed ? read_result::malformed : read_result::need_more;
+    return false;
 }
 
 bool http1_reader::finish()
@@ -132,6 +186,11 @@
     auto& reader = self(parser);
     reader.headers_done_ = true;
     auto& head = reader.head_;
+    // What follows CONNECT is no HTTP: its body would be read as a request.
+    const bool tunnel =
+        parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT;
+    if (tunnel || !has_one_meaning(head))
+        return stop_parsing;
     head.status = static_cast<int>(parser->status_code);
     if (parser->type == HTTP_REQUEST)
         head.method = http_method_str(static_cast<http_method>(parser->method));
@@ -139,7 +198,8 @@
     head.ends_with_connection = lasts_until_close(*parser);
     const bool interim =
         parser->type == HTTP_RESPONSE && head.status < first_final_status;
-    const bool no_body = reader.no_body_ && !interim;
+    const bool no_body =
+        is_bodyless_answer(*parser) || (reader.no_body_ && !interim);
     reader.handlers_.on_head(std::move(head));
     return no_body ? skip_body : 0;
 }
@@ -155,6 +215,7 @@
 {
     auto& reader = self(parser);
     reader.in_message_ = false;
+    reader.headers_done_ = false;
     reader.complete_ = true;
     // Bytes behind a message are for the next call.
     http_parser_pause(parser, 1);
