Play spoilt rows, kills at bad moments and rude neighbours in the soak

Routers ended at users over rows that are no UTF-8, and neither tests nor soak had shown it.

Cause: the stand-ins wrote no such row while some routers relied on others for news. The soak had four routers and none of the rows; it judged versions at its end only, and no end of a process but the last.

Change: six routers by default, of which half rely on readers. New faults: rows and configurations of other writers in all tables; routers killed, stopped and frozen alone, by data centre, all, in series, and the readers 5 to 400 ms after an acknowledgement; a store that garbles, pages, delays and refuses some; datagrams and questions between routers that are lost, late, refused or cut one way, by a relay that rewrites the addresses that routers tell each other; callers that pipeline, dribble, leave, and send what is no HTTP; more broken answers and nonsense in load and health; targets whose rows change all the time. Judged now, by what callers and targets see: versions in force and never back (versions.py), added routes served, cuts of requests that were passed on, own ends, steps that failed and were contained, requests that were changed, work for callers that left, late work at targets that left or are evacuated.

Steps of the wall clock are not played: a process's clock cannot be set from outside without preloading. Nor are targets that answer before they have read a body, or turn cold at any moment.

--- a/test/platform/fleet.py
+++ b/test/platform/fleet.py
@@ -14,6 +14,8 @@
 import wire
 from caller import Caller, get
 from proxy import Proxy
+from relay import Relay, address_of
+from rude import RudeCaller
 from store import Store
 from target import Target
 from truth import Truth
@@ -21,6 +23,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 BIN = Path(os.environ.get("VANILLAPOST_BIN", ROOT / "build"))
 ZONES = ("a", "b", "c")
+SERVICES = ("stock", "ledger", "archive")
+BLOCK = 100 + os.getpid() % 150  # of addresses, of this run
 START_S = 20  # generous: bounds waiting for something that does happen
 
 
@@ -34,6 +38,19 @@
     timeout_ms: int = 1500
     objective_ms: int = 400
     attempts: int = 2
+    split: str = ""  # a second service that gets a third of the requests
+
+    @property
+    def services(self):
+        return {self.service, self.split} - {""}
+
+    def action(self):
+        to = {"service": self.service}
+        if self.split:
+            to = {"trafficSplit": [{"service": self.service, "weight": 2},
+                                   {"service": self.split, "weight": 1}]}
+        return {**to, "attempts": self.attempts,
+                "timeout": f"{self.timeout_ms}ms"}
 
     @property
     def repeatable(self):
@@ -50,8 +67,8 @@
     """One process, at a loopback address of its own: ports are the same on
     all of them, as on the platform."""
 
-    def __init__(self, number, zone, ports, store_address, seeds, folder):
-        self.ip = f"127.0.{10 + os.getpid() % 200}.{number + 1}"
+    def __init__(self, number, zone, ports, store_address, folder, touch):
+        self.ip = address_of(BLOCK, number)
         self.name = f"router-{number}"
         self.zone = zone
         front, ready, directory, query, peer, metrics = ports
@@ -68,15 +85,19 @@
             "peer_address": f"{self.ip}:{peer}",
             "metrics_address": self.metrics,
             "platform": "rows", "platform_address": store_address,
-            "seeds": seeds,
+            "seeds": [],
             "grace_period": "6s", "repeat_ratio": 0.2,
             "repeat_allowance": 58, "repeat_window": "10s"}
+        self._touch = touch
+        self.ours = False  # whether we are about to end it
         self._file = Path(folder) / f"{self.name}.json"
         self.log = Path(folder) / f"{self.name}.log"
         self.process = None
 
-    def start(self, output=None):
+    def start(self, output=None, own_end=False):
         self._file.write_text(json.dumps(self.settings))
+        self._touch.note_start(self.front, own_end)
+        self.ours = False
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
                 [BIN / "vanillapost-router", "--settings", self._file],
@@ -86,6 +107,17 @@
         if self.process and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def kill(self):
+        self.ours = True
+        self._touch.note_kill(self.front)
+        self.signal(signal.SIGKILL)
+
+    def rewrite_settings(self, cut=False, **changed):
+        """In place, so that a reader may meet half of it."""
+        self.settings.update(changed)
+        text = json.dumps(self.settings)
+        self._file.write_text(text[:len(text) // 2] if cut else text)
+
     async def wait_end(self, limit_s=START_S):
         until = time.monotonic() + limit_s
         while self.process.poll() is None:
@@ -124,68 +156,82 @@
 class Fleet:
     """Store, targets, routers and callers of one test."""
 
-    def __init__(self, seed=1, routers=3, targets_per_zone=2, proxied=False):
+    def __init__(self, seed=1, routers=3, targets_per_zone=2, proxied=False,
+                 relayed=False):
         self.random = random.Random(seed)
         self.truth = Truth()
         self.store = Store(self.random)
-        self.store_proxy = Proxy() if proxied else None
+        self.store_proxies = [Proxy() for _ in range(routers if proxied else 0)]
+        self.relay = None
         self.proxies = {}
         self.targets = []
         self.routers = []
         self.version = 1
         self.routes = list(ROUTES)
+        self.added = 0  # routes beyond these
         self._wanted = (routers, targets_per_zone)
         self._proxied = proxied
+        self._relayed = relayed
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.ends = []  # (name, exit status) of routers that ended
+        self.load_ends = float("inf")
         self._next_target = 0
         self._loads = 0
 
     async def __aenter__(self):
         await self.store.start("127.0.0.1")
-        address = self.store.address
-        if self.store_proxy:
-            await self.store_proxy.start(address)
-            address = self.store_proxy.address
+        for proxy in self.store_proxies:
+            await proxy.start(self.store.address)
         await self.write_config()
         count, per_zone = self._wanted
         for zone in ZONES:
-            for service in ("stock", "ledger", "archive"):
+            for service in SERVICES:
                 for _ in range(per_zone):
                     await self.add_target(service, zone)
         self._ports = self.random.sample(range(20000, 32000), 6)
-        self._store_address = address
+        if self._relayed:
+            query, peer = self._ports[3:5]
+            self.relay = Relay(BLOCK, count, peer, query, self.random)
+            await self.relay.start()
         self.routers = [self._make_router(i) for i in range(count)]
-        seeds = [r.settings["query_address"] for r in self.routers[:3]]
         for router in self.routers:
-            router.settings["seeds"] = seeds
             router.start()
         return self
 
     def _make_router(self, number):
-        return Router(number, ZONES[number % 3], self._ports,
-                      self._store_address, [], self.folder)
+        store = self.store_proxies[number] if self._proxied else self.store
+        router = Router(number, ZONES[number % 3], self._ports, store.address,
+                        self.folder, self.truth.touch)
+        router.settings["seeds"] = [
+            f"{self._seen_by(number, i)}:{self._ports[3]}"
+            for i in range(min(self._wanted[0], 3))]
+        return router
 
     def add_router(self):
         """One more, at an address of its own, that knows no seeds."""
         router = self._make_router(len(self.routers))
+        router.settings["seeds"] = []
         self.routers.append(router)
         router.start()
         return router
 
+    def _seen_by(self, viewer, number):
+        if self.relay and viewer != number:
+            return self.relay.seen_by(viewer, number)
+        return address_of(BLOCK, number)
+
     async def __aexit__(self, *_):
         for router in self.routers:
             if router.process and router.process.poll() is None:
-                router.process.send_signal(signal.SIGCONT)
                 router.process.kill()
                 router.process.wait()
         for target in self.targets:
             await target.stop()
-        for proxy in self.proxies.values():
+        for proxy in [*self.proxies.values(), *self.store_proxies]:
             await proxy.stop()
-        if self.store_proxy:
-            await self.store_proxy.stop()
+        if self.relay:
+            await self.relay.stop()
         await self.store.stop()
         self._folder.cleanup()
 
@@ -215,8 +261,7 @@
         rules = [{"name": r.name, "kind": r.kind, "priority": 1,
                   "targetLatency": f"{r.objective_ms}ms",
                   "match": {"prefix": r.prefix},
-                  "action": {"service": r.service, "attempts": r.attempts,
-                             "timeout": f"{r.timeout_ms}ms"}}
+                  "action": r.action()}
                  for r in self.routes]
         return {"version": f"r{self.version}",
                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
@@ -225,12 +270,15 @@
                 "clusters": [{"name": s, "healthPath": "/health",
                               "maxConnections": 220, "slowStart": "3s",
                               "warmupPerS": 3.4}
-                             for s in ("stock", "ledger", "archive")]}
+                             for s in SERVICES]}
 
     async def write_config(self):
-        self.version += 3
+        self.version += self.random.randint(1, 9)
+        sent = self.truth.versions.send(
+            self.version, {r.name: r.services for r in self.routes},
+            time.monotonic())
         await self.store.put("op", "config", json.dumps(self.make_config()))
-        now = time.monotonic()
+        now = sent.acknowledged = time.monotonic()
         for route in self.routes:
             self.truth.in_force.setdefault(route.name, now)
 
@@ -238,20 +286,26 @@
         """Starts routers again that end, as the platform does."""
         while True:
             for router in self.routers:
-                if router.process.poll() is not None:
+                if router.process.poll() is not None and not router.ours:
                     self.ends.append((router.name, router.process.returncode))
                     await asyncio.sleep(pause_s)
-                    router.start()
+                    router.start(own_end=True)
             await asyncio.sleep(0.02)
 
-    def caller(self, name, zone="a"):
-        return Caller(name, zone, self, self.truth, self.random)
+    def caller(self, name, zone="a", **kind):
+        return Caller(name, zone, self, self.truth, self.random, **kind)
 
-    async def load(self, seconds, callers=12, pause_s=0.05, routes=None):
-        """Callers of all zones for that time."""
+    async def load(self, seconds, callers=12, pause_s=0.05, routes=None,
+                   rude=0):
+        """Callers of all zones for that time; a fourth of them and the rude
+        ones keep to their connections."""
         until = time.monotonic() + seconds
         self._loads += 1
+        all_of = [self.caller(f"c{i}-{self._loads}", ZONES[i % 3],
+                              stubborn=rude and i % 4 == 0)
+                  for i in range(callers)]
+        all_of += [RudeCaller(f"r{i}-{self._loads}", ZONES[i % 3], self,
+                              self.truth, self.random) for i in range(rude)]
         await asyncio.gather(*(
-            self.caller(f"c{i}-{self._loads}", ZONES[i % 3]).run(
-                routes or self.routes, pause_s, until)
-            for i in range(callers)))
+            each.run(routes or self.routes, pause_s, until)
+            for each in all_of))
--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -1,10 +1,12 @@
 #!/usr/bin/env python3
 """A randomized soak: routers as processes, faults from outside, in series and
-overlapping, and the promises checked from what callers and targets see.
+overlapping, and the promises checked from what callers and targets see. Each
+seed plays some of the groups of faults, so that some runs have calm routers.
 
     soak.py --seeds 50            fresh seeds, one after the other
     soak.py --seed 7 --seconds 20 one seed again
     soak.py --minutes 5           fresh seeds until the time is over
+    soak.py --regressions         all seeds of regressions.txt again
 
 Ends with 1 when a promise was broken, and names the seed.
 """
@@ -14,21 +16,28 @@
 import os
 import random
 import shutil
-import signal
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, os.path.dirname(__file__))
 
 import wire  # noqa: E402
 from caller import get  # noqa: E402
-from fleet import ZONES, Fleet, Route  # noqa: E402
+from faults import LinkFaults, RouterFaults  # noqa: E402
+from fleet import Fleet  # noqa: E402
+from store_faults import RowFaults, StoreFaults  # noqa: E402
+from target_faults import TargetFaults  # noqa: E402
 
 SETTLE_S = 5.0  # after the last fault; then everything has to work
 CALM_S = 2.0
 RECOVERED = 0.97  # share served in the calm at the end
-SERVICES = ("stock", "ledger", "archive")
+DIRECT_PAUSE_S = 0.2  # between direct requests at one router
+LAG_PAUSE_S = 0.05
+REPORT_PAUSE_S = 0.2  # between reports of all targets together
+GROUPS = (RouterFaults, LinkFaults, StoreFaults, TargetFaults)
+REGRESSIONS = Path(__file__).with_name("regressions.txt")
 
 
 class Soak:
@@ -36,288 +45,170 @@
         self.fleet = fleet
         self.random = random.Random(seed)
         self.log = []
-        self.frozen = []  # (front address, from, to) of stopped routers
         self.out = set()  # ids of targets that may get nothing any more
-        self.faults = [
-            self.kill_router, self.stop_router, self.freeze_router,
-            self.hang_up, self.store_mode, self.store_loses, self.store_slow,
-            self.store_forgets, self.store_cut, self.kill_target,
-            self.silence_target, self.slow_target, self.fail_target,
-            self.spoil_target, self.reset_target, self.drain_target,
-            self.add_target, self.reuse_address, self.cut_target,
-            self.configure, self.evacuate]
-
-    def note(self, text):
-        self.log.append(f"{time.monotonic():.3f} {text}")
-
-    def pick_target(self):
-        live = [t for t in self.fleet.targets if t.id not in self.out]
-        target = self.random.choice(live)
-        others = [t for t in live if t.service == target.service]
-        return target if len(others) > 2 else None
+        self.changed = list(fleet.routes)  # routes, also those dropped since
+        self.lag = 0.0  # the longest that this process kept others waiting
+        chosen = self.random.sample(GROUPS, self.random.randint(1, 3))
+        self.faults = [fault for group in (RowFaults, *chosen)
+                       for fault in group(fleet, self.random, self.out).all()]
+        self.gap = self.random.uniform(0.15, 1.2)
 
     async def run(self, seconds):
         until = time.monotonic() + seconds
         running = set()
         while time.monotonic() < until:
-            await asyncio.sleep(self.random.uniform(0.1, 0.8))
+            await asyncio.sleep(self.random.uniform(0.1, 2) * self.gap)
             fault = self.random.choice(self.faults)
-            self.note(fault.__name__)
-            running.add(asyncio.create_task(fault()))
+            running.add(asyncio.create_task(self._play(fault)))
         await asyncio.gather(*running)
 
-    async def pause(self, low=0.3, high=2.5):
-        await asyncio.sleep(self.random.uniform(low, high))
-
-    async def kill_router(self):
-        router = self.random.choice(self.fleet.routers)
-        process = router.process
-        if process.poll() is not None:
-            return
-        begin = time.monotonic()
-        process.kill()
-        while process.poll() is None:
-            await asyncio.sleep(0.02)
-        await self.pause(0.1, 1.5)
-        # Another fault may have started it meanwhile.
-        if router.process is process:
-            router.start()
-        self.frozen.append((router.front, begin, time.monotonic()))
-
-    async def stop_router(self):
-        router = self.random.choice(self.fleet.routers)
-        if router.process.poll() is not None:
-            return
-        process = router.process
-        router.signal(signal.SIGTERM)
-        end = time.monotonic() + 12
-        while process.poll() is None and time.monotonic() < end:
-            await asyncio.sleep(0.05)
-        if process.poll() is None:
-            self.fleet.truth.broken("STOP", f"{router.name} outlives SIGTERM")
-            process.kill()
-            process.wait()
-        if router.process is process:
-            router.start()
-
-    async def freeze_router(self):
-        router = self.random.choice(self.fleet.routers)
-        begin = time.monotonic()
-        router.signal(signal.SIGSTOP)
-        await self.pause(0.2, 2.5)
-        router.signal(signal.SIGCONT)
-        self.frozen.append((router.front, begin, time.monotonic()))
-
-    async def hang_up(self):
-        self.random.choice(self.fleet.routers).signal(signal.SIGHUP)
-
-    async def store_mode(self):
-        store = self.fleet.store
-        store.mode = self.random.choice(("silent", "busy", "many", "reset"))
-        if self.random.random() < 0.5:
-            store.reset_connections()
-        await self.pause()
-        store.mode = "ok"
-
-    async def store_loses(self):
-        self.fleet.store.lose = 0.4
-        await self.pause()
-        self.fleet.store.lose = 0.0
-
-    async def store_slow(self):
-        self.fleet.store.delay_s = self.random.uniform(0.05, 0.4)
-        await self.pause()
-        self.fleet.store.delay_s = 0.0
-
-    async def store_forgets(self):
-        await self.fleet.store.forget_history()
-
-    async def store_cut(self):
-        await self.cut(self.fleet.store_proxy)
-
-    async def cut(self, proxy):
-        kind = self.random.choice(("silent", "deaf", "refuse", "delay"))
-        if kind == "delay":
-            proxy.delay_s = self.random.uniform(0.01, 0.2)
-        else:
-            setattr(proxy, kind, True)
-        if self.random.random() < 0.5:
-            proxy.reset_connections()
-        await self.pause()
-        proxy.heal()
-        proxy.reset_connections()
-
-    async def cut_target(self):
-        target = self.pick_target()
-        if target:
-            await self.cut(self.fleet.proxies[target.id])
-
-    async def kill_target(self):
-        target = self.pick_target()
-        if not target:
-            return
-        self.out.add(target.id)
-        await target.stop()
-        await self.pause()
-        await target.leave()
-        await self.fleet.add_target(target.service, target.zone, cold_s=2.0)
-
-    async def reuse_address(self):
-        """The address of a target that ended goes to another service."""
-        target = self.pick_target()
-        if not target:
-            return
-        self.out.add(target.id)
-        await target.stop()
-        await target.leave()
-        service = self.random.choice(
-            [s for s in SERVICES if s != target.service])
-        other = await self.fleet.add_target(service, target.zone)
-        self.fleet.proxies[target.id]._to = other.address
-
-    async def with_figure(self, name, value):
-        target = self.pick_target()
-        if not target:
-            return
-        setattr(target, name, value)
-        await self.pause()
-        setattr(target, name, {"slow": 1.0, "dark": False}.get(name, 0.0))
-        if name == "dark":
-            target.reset_connections()
-
-    async def silence_target(self):
-        await self.with_figure("dark", True)
-
-    async def slow_target(self):
-        await self.with_figure("slow", self.random.uniform(2, 8))
-
-    async def fail_target(self):
-        await self.with_figure("fail", 0.5)
-
-    async def spoil_target(self):
-        await self.with_figure("spoil", 0.3)
-        await self.with_figure("lose", 0.2)
-
-    async def reset_target(self):
-        target = self.pick_target()
-        if target:
-            target.reset_connections(0.5)
-
-    async def drain_target(self):
-        target = self.pick_target()
-        if not target:
-            return
-        self.out.add(target.id)
-        await target.list_itself("draining")
-        await self.pause(1, 4)
-        await target.leave()
-        await self.fleet.add_target(target.service, target.zone)
-
-    async def add_target(self):
-        if len(self.fleet.targets) < 40:
-            await self.fleet.add_target(
-                self.random.choice(SERVICES), self.random.choice(ZONES),
-                cold_s=self.random.choice((0.0, 2.0)))
-
-    async def configure(self):
-        count = len(self.fleet.routes)
-        if count < 20:
-            self.fleet.routes.append(Route(
-                f"more{count}", "shop.example", f"/more{count}/", "stock"))
-        await self.fleet.write_config()
-
-    async def evacuate(self):
-        zone = self.random.choice(ZONES)
-        await self.fleet.store.put("op", f"evacuate/{zone}", "{}")
-        await self.pause()
-        await self.fleet.store.remove("op", f"evacuate/{zone}")
-
-    def excuse_frozen(self):
-        """No answer is expected of a router while it cannot run."""
-        for asked in self.fleet.truth.asked.values():
-            if asked.status != -1:
-                continue
-            for front, begin, end in self.frozen:
-                if asked.router == front and begin < asked.ended and \
-                        asked.at < end + 1:
-                    asked.status = 0
+    async def _play(self, fault):
+        self.log.append(f"{time.monotonic():.3f} {fault.__qualname__}")
+        await fault()
+        self.log.append(f"{time.monotonic():.3f} {fault.__qualname__} over")
+
+    async def ask_directly(self, router):
+        """Requests at one router that show which version it has in force."""
+        caller = self.fleet.caller(f"direct-{router.name}", only=router)
+        while time.monotonic() < self.fleet.load_ends:
+            self.changed += [r for r in self.fleet.routes
+                             if r not in self.changed]
+            await caller.request(self.random.choice(self.changed[-6:]))
+            await asyncio.sleep(DIRECT_PAUSE_S)
+
+    async def report_targets(self):
+        """Rows of targets change all the time, as those of hundreds do."""
+        while True:
+            await asyncio.sleep(REPORT_PAUSE_S)
+            target = self.random.choice(self.fleet.targets)
+            if target.id not in self.out:
+                await target.list_itself()
+
+    async def watch_lag(self):
+        while True:
+            due = time.monotonic() + LAG_PAUSE_S
+            await asyncio.sleep(LAG_PAUSE_S)
+            self.lag = max(self.lag, time.monotonic() - due)
 
     async def check_calm(self, since):
         truth = self.fleet.truth
-        if (share := truth.served(since)) < RECOVERED:
-            truth.broken("RECOVER", f"{share:.3f} served after all faults")
-        for runs in truth.runs.values():
-            for run in runs:
-                if run.target in self.out and run.at > since:
-                    truth.broken("DRAIN", f"{run.target} got work after it "
-                                 "had left")
+        if (share := truth.served(since, callers="c")) < RECOVERED:
+            ends = Counter((a.route, a.status) for a in truth.asked.values()
+                           if a.at > since and a.status != 200 and a.ended)
+            truth.broken("RECOVER", f"{share:.3f} served after all faults, "
+                         f"others {dict(ends)}")
+        for name, status in self.fleet.ends:
+            truth.broken("EXIT", f"{name} ended by itself with {status}")
         for router in self.fleet.routers:
-            if router.process.poll() is not None:
-                truth.broken("EXIT", f"{router.name} ended by itself")
+            if failures := router.log.read_bytes().count(
+                    b"callback_failed"):
+                truth.broken("FAILURE", f"{router.name} had {failures} steps "
+                             "that failed and were contained")
+            try:
+                answer = await get(router.metrics, "/metrics")
+            except (wire.Broken, OSError) as failure:
+                truth.broken("EXIT", f"{router.name}: {failure}")
                 continue
-            answer = await get(router.metrics, "/metrics")
             wanted = f"vanillapost_configuration_version {self.fleet.version}"
             if wanted not in answer.body.decode().splitlines():
                 truth.broken("CONFIG", f"{router.name} has an old version")
 
 
-async def play(seed, seconds, keep=None):
-    async with Fleet(seed=seed, routers=4, targets_per_zone=2,
-                     proxied=True) as fleet:
-        await fleet.wait_ready()
+async def play(fleet, soak, args):
+    await fleet.wait_ready()
+    beside = [asyncio.create_task(fleet.keep_running()),
+              asyncio.create_task(soak.watch_lag()),
+              asyncio.create_task(soak.report_targets())]
+    load = asyncio.gather(
+        fleet.load(3600, callers=args.callers, pause_s=0.06, rude=3),
+        *(soak.ask_directly(router) for router in fleet.routers))
+    await soak.run(args.seconds)
+    await asyncio.sleep(SETTLE_S)
+    calm = time.monotonic()
+    await asyncio.sleep(CALM_S)
+    await soak.check_calm(calm)
+    fleet.load_ends = time.monotonic()
+    await load
+    for task in beside:
+        task.cancel()
+    fleet.truth.check_end()
+
+
+def keep_logs(fleet, soak, folder):
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "faults.log").write_text("\n".join(soak.log))
+    (folder / "broken.log").write_text(
+        "\n".join(f"{p}: {what}" for p, what in fleet.truth.violations))
+    for router in fleet.routers:
+        shutil.copy(router.log, folder)
+
+
+async def run_fleet(seed, args):
+    async with Fleet(seed=seed, routers=args.routers,
+                     targets_per_zone=args.targets, proxied=True,
+                     relayed=True) as fleet:
         soak = Soak(fleet, seed)
-        total = seconds + SETTLE_S + CALM_S
-        load = asyncio.create_task(fleet.load(total, callers=16,
-                                              pause_s=0.06))
-        await soak.run(seconds)
-        await asyncio.sleep(SETTLE_S)
-        calm = time.monotonic()
-        await asyncio.sleep(CALM_S)
-        try:
-            await soak.check_calm(calm)
-        except (wire.Broken, OSError) as failure:
-            fleet.truth.broken("EXIT", f"no metrics: {failure}")
-        await load
-        soak.excuse_frozen()
-        fleet.truth.check_end()
-        if fleet.truth.violations and keep:
-            folder = Path(keep) / f"seed-{seed}"
-            folder.mkdir(parents=True, exist_ok=True)
-            (folder / "faults.log").write_text("\n".join(soak.log))
-            for router in fleet.routers:
-                shutil.copy(router.log, folder)
-        return fleet.truth
-
-
-def run_seed(seed, seconds, keep=None):
-    truth = asyncio.run(play(seed, seconds, keep))
+        await play(fleet, soak, args)
+        if fleet.truth.violations and args.keep:
+            keep_logs(fleet, soak, Path(args.keep) / f"seed-{seed}")
+        return fleet.truth, soak.lag
+
+
+def run_seed(seed, args):
+    truth, lag = asyncio.run(run_fleet(seed, args))
     verdict = "broken" if truth.violations else "kept"
-    print(f"seed {seed}: {verdict} {truth.summary()}", flush=True)
+    print(f"seed {seed}: {verdict} {truth.summary()} lag {lag:.2f} s "
+          f"{dict(Counter(p for p, _ in truth.violations))}", flush=True)
     for promise, what in truth.violations[:5]:
         print(f"  {promise}: {what}", flush=True)
     return not truth.violations
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--minutes", type=float, default=0)
-    parser.add_argument("--seconds", type=float, default=10)
-    parser.add_argument("--keep", help="folder for logs of broken seeds")
-    args = parser.parse_args()
-    if args.seed is not None:
-        return 0 if run_seed(args.seed, args.seconds, args.keep) else 1
+def read_regressions():
+    """Lines of seed, seconds, routers and targets, and then the cause."""
+    lines = REGRESSIONS.read_text().splitlines()
+    return [[int(figure) for figure in line.split()[:4]]
+            for line in lines if line and not line.startswith("#")]
+
+
+def play_regressions(args):
+    broken = []
+    for seed, args.seconds, args.routers, args.targets in read_regressions():
+        if not run_seed(seed, args):
+            broken.append(seed)
+    return broken
+
+
+def play_fresh(args):
     fresh = random.SystemRandom()
     until = time.monotonic() + args.minutes * 60
     broken = []
     played = 0
     while played < args.seeds or time.monotonic() < until:
         seed = fresh.randrange(10**6)
-        if not run_seed(seed, args.seconds, args.keep):
+        if not run_seed(seed, args):
             broken.append(seed)
         played += 1
     print(f"{played - len(broken)} kept, {len(broken)} broken {broken}")
+    return broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--minutes", type=float, default=0)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--routers", type=int, default=6)
+    parser.add_argument("--targets", type=int, default=2,
+                        help="of each service in each data centre")
+    parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--regressions", action="store_true")
+    parser.add_argument("--keep", help="folder for logs of broken seeds")
+    args = parser.parse_args()
+    if args.seed is not None:
+        return 0 if run_seed(args.seed, args) else 1
+    broken = play_regressions(args) if args.regressions else play_fresh(args)
     return 1 if broken else 0
 
 
--- a/test/platform/store.py
+++ b/test/platform/store.py
@@ -9,14 +9,26 @@
 import wire
 
 MAX_ROWS = 500
+MAX_ANSWER_BYTES = 1_000_000
 READ_ONLY = ("op", "servers")
+NO_ANSWERS = (b"[]", b"null", b"", b"{", b'{"rows":{},"revision":"x"}',
+              b'{"rows":[7],"revision":-1}', b'{"rows":[],"revision":1e400}',
+              b'{"rows":[{"key":"\xc1"}]}', b"<html>", b"[" * 30000)
+NO_ROWS = ({}, {"key": 5}, {"key": "i-x", "revision": "7", "value": ""},
+           {"key": "i-x", "revision": None, "value": ""}, None, [],
+           {"key": "i-x", "value": "e30="}, {"revision": 1, "value": "e30="},
+           {"key": "i-x", "revision": 1, "deleted": 7})
+GARBLES = ("cut", "half", "noise", "no_json", "other", "length", "headers")
 
 
 class Store:
     """Rows with one revision over all tables; a feed with a short memory.
 
     Faults: `mode` is ok, silent, busy, many or reset; `lose` is the share of
-    answers that are lost after the call took effect; `delay_s` slows answers.
+    answers that are lost after the call took effect, `garble` of those that
+    are broken, `alien` of those with a row that is none, `no_base64` of those
+    with a value that is no base64; `delay_s` slows answers, and `jitter_s`
+    each by another time; `page` is the most rows of an answer.
     """
 
     def __init__(self, random):
@@ -28,8 +40,9 @@
         self._changed = asyncio.Condition()
         self.revision = 0
         self.mode = "ok"
-        self.lose = 0.0
-        self.delay_s = 0.0
+        self.lose = self.garble = self.alien = self.no_base64 = 0.0
+        self.delay_s = self.jitter_s = 0.0
+        self.page = MAX_ROWS
         self.calls = 0
 
     @property
@@ -56,11 +69,13 @@
     def has(self, table, key):
         return (table, "", key) in self._rows
 
-    async def forget_history(self):
-        """Drops the history and cuts those who wait for changes."""
+    async def forget_history(self, reset=True):
+        """Drops the history, and cuts or tells those who wait for changes."""
         self._log.clear()
         self._forgotten = self.revision
-        self.reset_connections()
+        if reset:
+            self.reset_connections()
+        await self._tell_waiting()
 
     async def _apply(self, changes):
         self.revision += 1
@@ -70,6 +85,9 @@
             else:
                 self._rows[(table, part, key)] = (value, self.revision)
             self._log.append((self.revision, table, part, key, value))
+        await self._tell_waiting()
+
+    async def _tell_waiting(self):
         async with self._changed:
             self._changed.notify_all()
 
@@ -87,17 +105,61 @@
                 writer.write(wire.format_message(f"HTTP/1.1 {status} No", []))
                 continue
             status, answer = await self._answer(request)
-            if self.delay_s:
-                await asyncio.sleep(self.delay_s)
-            if self._random.random() < self.lose or self.mode == "silent":
+            if late := self.delay_s + self._random.uniform(0, self.jitter_s):
+                await asyncio.sleep(late)
+            if self._has_fault(self.lose) or self.mode == "silent":
                 # Nothing more is delivered on this connection.
                 await asyncio.sleep(3600)
+            self._spoil_rows(answer)
             body = json.dumps(answer).encode()
-            writer.write(wire.format_message(
-                f"HTTP/1.1 {status} X",
-                [("Content-Type", "application/json")], body))
+            if self._has_fault(self.garble):
+                await self._garble(writer, status, body)
+                return
+            writer.write(self._format(status, body))
             await writer.drain()
 
+    def _has_fault(self, share):
+        return self._random.random() < share
+
+    @staticmethod
+    def _format(status, body, *headers):
+        return wire.format_message(
+            f"HTTP/1.1 {status} X",
+            [("Content-Type", "application/json"), *headers], body)
+
+    def _spoil_rows(self, answer):
+        rows = answer.get("rows", [])
+        if rows and self._has_fault(self.alien):
+            rows.insert(self._random.randrange(len(rows) + 1),
+                        self._random.choice(NO_ROWS))
+        # Behind a page, a key that is not in order would hide others.
+        is_feed = "rows" in answer and "hasMore" not in answer
+        if is_feed and self._has_fault(self.no_base64):
+            rows.append({"table": "servers", "part": "", "key": "i-no-base64",
+                         "revision": answer["revision"], "value": "!\xff="})
+
+    async def _garble(self, writer, status, body):
+        """An answer that is none; the connection is of no use after it."""
+        whole = self._format(status, body)
+        kind = self._random.choice(GARBLES)
+        if kind in ("cut", "half"):
+            whole = whole[:self._random.randrange(1, len(whole))]
+        elif kind == "noise":
+            whole = b"\x00\xff no HTTP\r\n\r\n" + whole
+        elif kind == "no_json":
+            whole = self._format(status, body[:-1 - len(body) // 3])
+        elif kind == "other":
+            whole = self._format(status, self._random.choice(NO_ANSWERS))
+        elif kind == "length":
+            whole = whole.replace(b"Content-Length: ", b"Content-Length: 9")
+        else:
+            whole = self._format(status, body, ("\x00\xff", "\xc1"),
+                                 ("Content-Length", len(body) + 7))
+        writer.write(whole)
+        await writer.drain()
+        if kind == "half":
+            await asyncio.sleep(3600)
+
     async def _answer(self, request):
         url = urlsplit(request.target)
         query = {k: v[0] for k, v in
@@ -113,11 +175,19 @@
     def _get(self, query):
         table, part = query["table"], query.get("part", "")
         first = query.get("fromRev", "")
-        limit = min(int(query.get("limit", MAX_ROWS)), MAX_ROWS)
-        found = sorted((key, row) for (t, p, key), row in self._rows.items()
-                       if (t, p) == (table, part) and key >= first)
-        rows = [self._row(table, part, key, *row) for key, row in found[:limit]]
-        return {"rows": rows, "hasMore": len(found) > limit,
+        limit = min(int(query.get("limit", MAX_ROWS)), self.page)
+        found = sorted(((key, row) for (t, p, key), row in self._rows.items()
+                        if (t, p) == (table, part) and key >= first),
+                       key=lambda each: each[0].encode())
+        rows = []
+        size = 0
+        for key, row in found[:limit]:
+            rows.append(self._row(table, part, key, *row))
+            size += len(str(rows[-1].get("value", "")))
+            if size > MAX_ANSWER_BYTES:
+                rows.pop()
+                break
+        return {"rows": rows, "hasMore": len(found) > len(rows),
                 "revision": self.revision, "now": self._now()}
 
     async def _feed(self, query):
@@ -157,8 +227,7 @@
         if any(change[0] in READ_ONLY for change in changes):
             return 403, {"error": "not yours"}
         await self._apply([(t, p, k, None if v is None else
-                            base64.b64decode(v).decode())
-                           for t, p, k, v in changes])
+                            base64.b64decode(v)) for t, p, k, v in changes])
         return 200, {"revision": self.revision, "now": self._now()}
 
     @staticmethod
--- a/test/platform/target.py
+++ b/test/platform/target.py
@@ -11,6 +11,19 @@
 ID = "X-Vanillapost-Attempt-Id"
 SEAL = "X-Vanillapost-Response-Seal"
 COLD_ROOM = 5  # requests beyond the rate that a cold target still bears
+ODD_LOADS = ("", "1", "a,b,c", "-1,-5,0", ",,,,", "1,1,0,0", "nan,inf,1",
+             "99999999999999999999,1,1", "0,0,2147483647,1", "1;2;3",
+             "\xff\xfe", "0,0,2,-100", "1," * 2000, " 1 , 2 , 3 ")
+ODD_WARMUPS = ("-5", "x", "", "1e99", "99999999999999999999", "0.5", "\xff")
+ODD_HEALTH = (b"\x00\xffno answer\r\n\r\n", b"HTTP/1.1 200\r\n\r\n",
+              b"HTTP/1.1 999999999999 X\r\nContent-Length: 0\r\n\r\n",
+              b"HTTP/1.1 200 X\r\nContent-Length: -1\r\n\r\n",
+              b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n"
+              b"Content-Length: 5\r\n\r\n",
+              b"HTTP/1.1 100 Continue\r\n\r\n" * 50, b"\r\n" * 9)
+SPOILS = ("cut", "extra", "late", "unframed", "unsealed", "noise", "coded",
+          "other_id", "drip", "tail", "headers", "interim", "bad_status",
+          "bad_chunk", "two_lengths")
 
 
 def answer_body(attempt_id, size):
@@ -35,6 +48,8 @@
     path: str
     body: bytes
     first: bool
+    zone: str = ""
+    arrived: float = 0.0
 
 
 class Target:
@@ -42,7 +57,9 @@
 
     Faults: `slow` multiplies work; `fail`, `lose`, `spoil` are shares of
     answers that are 500, lost after the run, or broken; `dark` is silence;
-    `stall` ("length" or "chunks", its framing) stops in the middle of a body.
+    `stall` ("length" or "chunks", its framing) stops in the middle of a body;
+    `odd` is the share of nonsense in load headers and health answers. With
+    `refuses` it says when it is full, and without it is silent then.
     """
 
     def __init__(self, name, service, zone, store, truth, random, slots=2,
@@ -56,9 +73,10 @@
         self.size = size
         self.cold_per_s = cold_per_s
         self.slow = 1.0
-        self.fail = self.lose = self.spoil = 0.0
+        self.fail = self.lose = self.spoil = self.odd = 0.0
         self.dark = False
         self.stall = None
+        self.refuses = False
         self.draining = False
         self.cold_until = 0.0
         self.born = int(time.time() * 1000)
@@ -85,6 +103,11 @@
     async def stop(self):
         await self._server.stop()
 
+    def begin_anew(self):
+        """A new incarnation under the same id."""
+        self.born = int(time.time() * 1000)
+        self._sequence = 0
+
     def reset_connections(self, share=1.0):
         self._server.reset_connections(share, self._random)
 
@@ -98,11 +121,23 @@
             "status": {"state": state, "sequence": self._sequence,
                        "warmupLeft": f"{int(left * 1000)}ms"}}))
         self.draining = state == "draining"
+        if self.draining:
+            self._truth.note_leaving(self.id)
+        else:
+            # Its entry had lapsed while it served.
+            self._truth.leaving.pop(self.id, None)
 
     async def leave(self):
         await self._store.remove("servers", self.id)
+        self._truth.note_leaving(self.id)
+
+    def _is_odd(self):
+        return self._random.random() < self.odd
 
     def _load(self):
+        if self._is_odd():
+            return ("X-Vanillapost-Backend-Load",
+                    self._random.choice(ODD_LOADS))
         pace = int(100 * self.slow)
         return ("X-Vanillapost-Backend-Load",
                 f"{self._running},{self._waiting},{self.slots},{pace}")
@@ -110,12 +145,14 @@
     async def _serve(self, reader, writer):
         while True:
             request = await wire.read_message(reader)
+            arrived = time.monotonic()
             if self.dark:
                 await asyncio.sleep(3600)
             if request.target == "/health":
                 self._answer_health(writer)
                 continue
-            work = asyncio.create_task(self._work(request, writer))
+            work = asyncio.create_task(self._work(
+                request, arrived, writer))
             left = asyncio.create_task(reader.read(1))
             done, _ = await asyncio.wait(
                 (work, left), return_when=asyncio.FIRST_COMPLETED)
@@ -131,12 +168,18 @@
     def _answer_health(self, writer):
         status = 503 if self.draining else 200
         left = max(self.cold_until - time.monotonic(), 0)
-        headers = [("X-Vanillapost-Instance-Id", self.id), self._load()]
-        if left > 0:
+        if self._is_odd():
+            writer.write(self._random.choice(ODD_HEALTH))
+        name = "\x01\xff" if self._is_odd() else self.id
+        headers = [("X-Vanillapost-Instance-Id", name), self._load()]
+        if self._is_odd():
+            headers.append(("X-Vanillapost-Warmup-Ms",
+                            self._random.choice(ODD_WARMUPS)))
+        elif left > 0:
             headers.append(("X-Vanillapost-Warmup-Ms", int(left * 1000)))
         writer.write(wire.format_message(f"HTTP/1.1 {status} X", headers))
 
-    async def _work(self, request, writer):
+    async def _work(self, request, arrived, writer):
         """Whether the connection can be used again."""
         attempt_id = request.header(ID)
         wanted = request.header("X-Vanillapost-Target-Instance")
@@ -146,6 +189,11 @@
                 [("X-Vanillapost-Instance-Id", self.id)]))
             return True
         if self._running + self._waiting >= self.slots + self.queue:
+            if self.refuses:
+                writer.write(wire.format_message(
+                    "HTTP/1.1 503 Full", [("X-Vanillapost-Not-Executed", "1"),
+                                          (ID, attempt_id), self._load()]))
+                return True
             await asyncio.sleep(3600)
         self._waiting += 1
         try:
@@ -154,18 +202,18 @@
             self._waiting -= 1
         self._running += 1
         try:
-            self._note_run(request, attempt_id)
+            self._note_run(request, arrived, attempt_id)
             await asyncio.sleep(self.work_s * self.slow)
         finally:
             self._running -= 1
             self._room.release()
         return await self._answer(request, attempt_id, writer)
 
-    def _note_run(self, request, attempt_id):
+    def _note_run(self, request, arrived, attempt_id):
         now = time.monotonic()
         self._truth.note_run(Run(
             now, attempt_id, self.service, self.id, request.method,
-            request.target, request.body, False))
+            request.target, request.body, False, self.zone, arrived))
         if now < self.cold_until:
             self._recent = [t for t in self._recent if t > now - 1] + [now]
             if len(self._recent) > self.cold_per_s * 1.5 + COLD_ROOM:
@@ -183,6 +231,9 @@
             body = answer_body(attempt_id, self.size)
             status = 200
         headers = [(ID, attempt_id), (SEAL, seal_of(body)), self._load()]
+        last = self.draining or self._is_odd()
+        if last:
+            headers.append(("Connection", "close"))
         start = f"HTTP/1.1 {status} X"
         if self.stall:
             return await self._stall(start, headers, body, writer)
@@ -190,7 +241,7 @@
             return await self._spoil(start, headers, body, writer)
         writer.write(wire.format_message(start, headers, body))
         await writer.drain()
-        return True
+        return not last
 
     async def _stall(self, start, headers, body, writer):
         half = body[:len(body) // 2]
@@ -205,26 +256,43 @@
         return False
 
     async def _spoil(self, start, headers, body, writer):
-        kind = self._random.choice(
-            ("cut", "extra", "late", "unframed", "unsealed", "noise", "coded"))
-        if kind == "cut":
-            writer.write(wire.format_message(start, headers, body)[:-9])
-        elif kind == "extra":
-            writer.write(wire.format_message(start, headers, body) * 2)
-        elif kind == "late":
-            writer.write(wire.format_message(start, headers, body))
+        kind = self._random.choice(SPOILS)
+        whole = wire.format_message(start, headers, body)
+        if kind == "late":
+            writer.write(whole)
             await writer.drain()
             await asyncio.sleep(0.03)
-            writer.write(wire.format_message(start, headers, body))
-        elif kind == "unframed":
-            writer.write(wire.format_message(start, headers, body, False))
-        elif kind == "unsealed":
-            plain = [(n, v) for n, v in headers if n != SEAL]
-            writer.write(wire.format_message(start, plain, body))
-        elif kind == "noise":
-            writer.write(b"\x00\xffno answer\r\n\r\n")
+            writer.write(whole)
+        elif kind == "drip":
+            for i in range(0, len(whole), 1 + len(whole) // 9):
+                writer.write(whole[i:i + 1 + len(whole) // 9])
+                await asyncio.sleep(0.005)
         else:
-            coded = headers + [("Content-Encoding", "gzip")]
-            writer.write(wire.format_message(start, coded, body))
+            writer.write(self._spoil_bytes(kind, start, headers, body, whole))
         await writer.drain()
-        return kind in ("extra", "late")
+        return kind in ("extra", "late", "drip", "interim")
+
+    @staticmethod
+    def _spoil_bytes(kind, start, headers, body, whole):
+        def with_headers(*others):
+            return wire.format_message(start, [*headers, *others], body)
+
+        plain = [h for h in headers if h[0] != SEAL]
+        other = [(n, v if n != ID else "another-id") for n, v in headers]
+        chunked = wire.format_message(
+            start, [*headers, ("Transfer-Encoding", "chunked")], length=False)
+        return {
+            "cut": whole[:-9],
+            "extra": whole * 2,
+            "unframed": wire.format_message(start, headers, body, False),
+            "unsealed": wire.format_message(start, plain, body),
+            "noise": b"\x00\xffno answer\r\n\r\n",
+            "coded": with_headers(("Content-Encoding", "gzip")),
+            "other_id": wire.format_message(start, other, body),
+            "tail": whole + b"\xff" * 9,
+            "headers": with_headers(("X\xff", "\xc1\x01"), ("Y", "y" * 70000)),
+            "interim": b"HTTP/1.1 102 Wait\r\n\r\n" + whole,
+            "bad_status": whole.replace(b"HTTP/1.1 ", b"HTTP/1.1 -", 1),
+            "bad_chunk": chunked + b"fffffffffffffffff\r\n" + body,
+            "two_lengths": with_headers(("Content-Length", len(body) + 40)),
+        }[kind]
