--- a/test/callback_failures.cpp
+++ b/test/callback_failures.cpp
@@ -139,8 +139,8 @@
     handlers.on_data = [](std::string_view) {};
     handlers.on_done = [] {};
     handlers.on_failure = [&](const target_failure&) { ended = true; };
-    const auto call =
-        pool.start({.bytes = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"}, std::move(handlers));
+    const auto call = pool.start(
+        {.bytes = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"}, std::move(handlers));
     run_until(loop, [&] { return !target.streams.empty(); });
     target.streams[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     run_until(loop, [&] { return ended; });
