--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -22,9 +22,12 @@
     http_request request;
     std::string method; ///< stays when the request is taken
     bool keep_alive = true;
+    bool has_body = true; ///< of the answer
     bool chunked = false;
+    std::uint64_t left = 0; ///< of a body with a length
     bool finished = false;
-    std::string held; ///< answer bytes behind those of earlier requests
+    bool broken = false; ///< the connection ends at its turn
+    std::string held;    ///< answer bytes behind those of earlier requests
 
     static void notify_gone(caller_exchange& owner);
 };
@@ -54,7 +57,11 @@
     void send(caller_slot& slot, std::string_view bytes);
     void finish(caller_slot& slot);
 
-    /// The answer of the slot cannot be completed.
+    /// The answer of the slot cannot be completed: those before it still go
+    /// out, then the connection ends.
+    void break_off(caller_slot& slot);
+
+    /// Ends the connection at once.
     void break_off();
 
     std::size_t pending_bytes(const caller_slot& slot) const;
@@ -65,7 +72,9 @@
     /// Enforces the time limits.
     void check_time(time_point now);
 
-    bool says_close(const caller_slot& slot) const;
+    /// Decides whether the answer of the slot says that it is the last one.
+    /// Then nothing is read behind it.
+    bool ends_with(caller_slot& slot);
 
 private:
     static void on_readable(bufferevent* stream, void* self);
@@ -80,7 +89,10 @@
     void take_request();
     void refuse(int status, std::string_view reason);
     void flush();
-    void drop_slots();
+    void drop_slots(std::size_t kept = 0);
+    bool has_unread() const;
+    void note_idle();
+    void tell_to_go_on();
     void close_gracefully();
     void end();
 
@@ -92,12 +104,14 @@
     std::unique_ptr<caller_slot> incoming_;
     bool headers_read_ = false;
     bool body_too_large_ = false;
+    bool wants_go_on_ = false; ///< its caller waits before it sends the body
     bool closing_ = false;     ///< nothing more is read
     bool wrote_close_ = false; ///< our side is shut down
     bool reading_ = false;
     bool ended_ = false;
     time_point message_since_{}; ///< its first byte
     time_point idle_since_{};
+    duration idle_limit_{}; ///< in force when it became idle
     time_point closing_since_{};
 };
 
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -17,6 +17,9 @@
 
 constexpr int listen_backlog = 1024;
 constexpr duration sweep_interval = 500ms;
+/// Connections that cannot be accepted stay ready: without descriptors the
+/// loop would do nothing else.
+constexpr duration accept_pause = 100ms;
 constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -27,9 +30,11 @@
            status != status_no_content && status != status_not_modified;
 }
 
-std::string length_line(std::uint64_t length)
+std::string framing_line(const detail::caller_slot& slot)
 {
-    return "Content-Length: " + std::to_string(length) + "\r\n";
+    if (slot.chunked)
+        return "Transfer-Encoding: chunked\r\n";
+    return "Content-Length: " + std::to_string(slot.left) + "\r\n";
 }
 
 } // namespace
@@ -53,7 +58,7 @@
         return;
     slot_->owner = nullptr;
     if (slot_->connection && !slot_->finished)
-        slot_->connection->break_off();
+        slot_->connection->break_off(*slot_);
 }
 
 http_request caller_exchange::take_request()
@@ -72,34 +77,48 @@
 {
     if (!slot_)
         return;
-    const bool with_body = has_body(slot_->method, status);
-    auto& connection = *slot_->connection;
-    std::string bytes = detail::format_answer_head(
-        status, headers, with_body ? length_line(body.size()) : std::string(),
-        connection.says_close(*slot_));
-    if (with_body)
-        bytes.append(body);
-    if (connection.says_close(*slot_))
-        slot_->keep_alive = false;
-    connection.send(*slot_, bytes);
+    if (begun_) {
+        break_off();
+        return;
+    }
+    begin(status, headers, body.size());
+    if (slot_->has_body)
+        write(body);
     finish();
 }
 
+void caller_exchange::start_body(int status,
+                                 std::optional<std::uint64_t> length)
+{
+    begun_ = true;
+    slot_->has_body = has_body(slot_->method, status);
+    slot_->chunked = slot_->has_body && !length;
+    slot_->left = slot_->has_body ? length.value_or(0) : 0;
+}
+
+// The owner knows: it is not told that its caller has gone.
+void caller_exchange::break_off()
+{
+    auto* slot = std::exchange(slot_, nullptr);
+    slot->owner = nullptr;
+    slot->connection->break_off(*slot);
+}
+
 void caller_exchange::begin(int status, const header_list& headers,
                             std::optional<std::uint64_t> length)
 {
     if (!slot_)
         return;
-    slot_->chunked = !length;
+    if (begun_) {
+        break_off();
+        return;
+    }
+    start_body(status, length);
     auto& connection = *slot_->connection;
-    const bool close = connection.says_close(*slot_);
-    if (close)
-        slot_->keep_alive = false;
-    connection.send(*slot_, detail::format_answer_head(
-                                status, headers,
-                                length ? length_line(*length)
-                                       : "Transfer-Encoding: chunked\r\n",
-                                close));
+    const bool close = connection.ends_with(*slot_);
+    const auto framing = slot_->has_body ? framing_line(*slot_) : "";
+    connection.send(
+        *slot_, detail::format_answer_head(status, headers, framing, close));
 }
 
 void caller_exchange::write(std::string_view data)
@@ -108,6 +127,11 @@
         return;
     auto& connection = *slot_->connection;
     if (!slot_->chunked) {
+        if (data.size() > slot_->left) {
+            break_off();
+            return;
+        }
+        slot_->left -= data.size();
         connection.send(*slot_, data);
         return;
     }
@@ -123,6 +147,10 @@
 {
     if (!slot_)
         return;
+    if (slot_->left > 0) {
+        break_off();
+        return;
+    }
     auto* slot = std::exchange(slot_, nullptr);
     if (slot->chunked)
         slot->connection->send(*slot, "0\r\n\r\n");
@@ -142,9 +170,11 @@
     std::unique_ptr<evconnlistener, decltype(&evconnlistener_free)> listener{
         nullptr, &evconnlistener_free};
     timer sweep;
+    timer accept_again;
 
     state(event_loop& loop, caller_server_limits limits, handler handle)
-        : sweep(loop, [this] { check_time(); })
+        : sweep(loop, [this] { check_time(); }),
+          accept_again(loop, [this] { resume_accepting(); })
     {
         host.loop = &loop;
         host.limits = limits;
@@ -161,6 +191,21 @@
                                 [&] { server.accept(socket); });
     }
 
+    static void on_accept_error(evconnlistener* listener, void* self)
+    {
+        auto& server = *static_cast<state*>(self);
+        server.host.loop->guard("pause accepting", "", [&] {
+            evconnlistener_disable(listener);
+            server.accept_again.start_once(accept_pause);
+        });
+    }
+
+    void resume_accepting()
+    {
+        if (listener)
+            evconnlistener_enable(listener.get());
+    }
+
     void accept(evutil_socket_t socket)
     {
         if (connections.size() >= host.limits.max_connections) {
@@ -214,6 +259,8 @@
         listen_backlog, local.get(), local.length));
     if (!state_->listener)
         throw error("listen", to_string(where), detail::last_error_text());
+    evconnlistener_set_error_cb(state_->listener.get(),
+                                &state::on_accept_error);
     return detail::local_address(evconnlistener_get_fd(state_->listener.get()));
 }
 
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -2,6 +2,7 @@
 #include "io_support.hpp"
 
 #include <rapidcheck/gtest.h>
+#include <sys/resource.h>
 
 namespace {
 
@@ -113,6 +114,67 @@
     EXPECT_EQ(position(*caller, "0\r\n\r\n"), std::string::npos);
 }
 
+// What came behind a begun answer stood in the middle of its body.
+TEST(CallerServer, AReplyBehindABegunAnswerWritesNothingAndBreaksOff)
+{
+    const std::vector<std::optional<std::uint64_t>> lengths = {std::nullopt,
+                                                               99};
+    for (const auto& length : lengths) {
+        served s;
+        auto caller = s.connect();
+        caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.await(1);
+        s.held[0]->begin(200, {}, length);
+        s.held[0]->write("half");
+        s.await_text(*caller, "half");
+        EXPECT_TRUE(s.held[0]->has_begun());
+        s.held[0]->reply(504, {}, "too late");
+        run_until(s.loop, [&] { return caller->closed; });
+        EXPECT_EQ(position(*caller, "504"), std::string::npos);
+        EXPECT_EQ(position(*caller, "0\r\n\r\n"), std::string::npos);
+        EXPECT_TRUE(caller->received.find("half") != std::string::npos);
+        EXPECT_EQ(s.server.in_flight(), 0u);
+    }
+}
+
+// A caller would wait for the missing bytes, or take the next answer's.
+TEST(CallerServer, AnAnswerOfAnotherLengthThanItSaysBreaksOff)
+{
+    for (const std::string_view body : {"abc", "abcdefg"}) {
+        served s;
+        auto caller = s.connect();
+        caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                     "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.await(2);
+        s.held[1]->reply(200, {}, "second");
+        s.held[0]->begin(200, {}, 5);
+        s.held[0]->write(body);
+        s.held[0]->finish();
+        run_until(s.loop, [&] { return caller->closed; });
+        EXPECT_EQ(position(*caller, "second"), std::string::npos);
+        EXPECT_EQ(position(*caller, "abcdefg"), std::string::npos);
+    }
+}
+
+TEST(CallerServer, AStreamedAnswerToHeadHasNoBody)
+{
+    const std::vector<std::optional<std::uint64_t>> lengths = {std::nullopt,
+                                                               99};
+    for (const auto& length : lengths) {
+        served s;
+        auto caller = s.connect();
+        caller->send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                     "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.await(2);
+        s.held[0]->begin(200, {}, length);
+        s.held[0]->finish();
+        s.held[1]->reply(200, {}, "second");
+        s.await_text(*caller, "second");
+        EXPECT_NE(position(*caller, "\r\n\r\nHTTP/1.1 200"), std::string::npos);
+        EXPECT_EQ(position(*caller, "0\r\n\r\n"), std::string::npos);
+    }
+}
+
 TEST(CallerServer, StreamsInChunksWithoutALength)
 {
     served s;
@@ -208,6 +270,248 @@
     }
 }
 
+// Request 3 was passed on and then cut: the answer to 2, which was ready
+// before that to 1, had already said that it is the last.
+TEST(CallerServer, NothingIsReadOnceAnAnswerSaysThatItIsTheLast)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(2);
+    s.server.announce_close();
+    s.held[1]->reply(200, {}, "second");
+    caller->send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(s.loop, 50ms);
+    EXPECT_EQ(s.requests.size(), 2u);
+    s.held[0]->reply(200, {}, "first");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_NE(position(*caller, "second"), std::string::npos);
+}
+
+TEST(CallerServer, NothingIsReadBehindAStreamThatSaysThatItIsTheLast)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.server.announce_close();
+    s.held[0]->begin(200, {}, std::nullopt);
+    caller->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(s.loop, 50ms);
+    EXPECT_EQ(s.requests.size(), 1u);
+    s.held[0]->finish();
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_NE(position(*caller, "0\r\n\r\n"), std::string::npos);
+}
+
+// The connection was broken off at once, with the requests before it.
+TEST(CallerServer, ADroppedAnswerCostsNoRequestBeforeIt)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(3);
+    s.held[1]->begin(200, {}, 100);
+    s.held[1]->write("half");
+    s.held[1].reset();
+    run_for(s.loop, 20ms);
+    EXPECT_FALSE(caller->closed);
+    s.held[0]->reply(200, {}, "first");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_NE(position(*caller, "first"), std::string::npos);
+    EXPECT_EQ(s.server.in_flight(), 0u);
+}
+
+// Each sweep refused it once more while an earlier request was worked on.
+TEST(CallerServer, SlowHeadersBehindARequestAreRefusedOnce)
+{
+    caller_server_limits limits;
+    limits.header_timeout = 100ms;
+    served s(limits);
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HT");
+    s.await(1);
+    run_for(s.loop, 1700ms);
+    s.held[0]->reply(200, {}, "first");
+    run_until(s.loop, [&] { return caller->closed; });
+    const auto refusal = position(*caller, " 408 ");
+    ASSERT_NE(refusal, std::string::npos);
+    EXPECT_EQ(caller->received.find(" 408 ", refusal + 1), std::string::npos);
+}
+
+// Its body was read as the next request.
+TEST(CallerServer, NothingIsSmuggledInABodyOfConnect)
+{
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+    served s;
+    auto caller = s.connect();
+    caller->send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                 std::to_string(inner.size()) + "\r\n\r\n" + inner);
+    run_until(s.loop, [&] { return caller->closed || !s.requests.empty(); });
+    EXPECT_TRUE(s.requests.empty());
+    EXPECT_NE(position(*caller, " 400 "), std::string::npos);
+}
+
+// Each holds a request in what one reader takes for a body.
+TEST(CallerServer, RequestsThatCouldBeReadInTwoWaysAreRefusedAlone)
+{
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+    const auto length = std::to_string(inner.size());
+    const std::vector<std::string> heads = {
+        "Content-Length: " + length + "\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: " + length,
+        "Content-Length: 0\r\nContent-Length: " + length,
+        "Content-Length: " + length + ", 0",
+        "Content-Length: +" + length,
+        "Content-Length : " + length,
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding : chunked",
+        "Host: b",
+        "X: a\rTransfer-Encoding: chunked",
+        "X: a\r\n\rTransfer-Encoding: chunked",
+        std::string("X: a\0b", 6)};
+    for (const auto& head : heads) {
+        served s;
+        auto earlier = s.connect();
+        earlier->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.await(1);
+        earlier->send("POST /2 HTTP/1.1\r\nHost: a\r\n" + head +
+                      "\r\n\r\n0\r\n\r\n" + inner);
+        run_for(s.loop, 20ms);
+        EXPECT_EQ(s.requests.size(), 1u) << head;
+        s.held[0]->reply(200, {}, "first");
+        run_until(s.loop, [&] { return earlier->closed; });
+        EXPECT_NE(position(*earlier, "first"), std::string::npos) << head;
+        EXPECT_NE(position(*earlier, " 400 "), std::string::npos) << head;
+    }
+}
+
+// The listener woke the loop again and again.
+TEST(CallerServer, WithoutDescriptorsTheListenerWaits)
+{
+    static int warnings = 0;
+    event_set_log_callback([](int, const char*) { ++warnings; });
+    served s;
+    const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    rlimit usual{};
+    getrlimit(RLIMIT_NOFILE, &usual);
+    rlimit none = usual;
+    none.rlim_cur = static_cast<rlim_t>(socket) + 1;
+    setrlimit(RLIMIT_NOFILE, &none);
+    auto target = detail::to_socket_address(s.where);
+    ASSERT_EQ(::connect(socket, target.get(), target.length), 0);
+    run_for(s.loop, 250ms);
+    setrlimit(RLIMIT_NOFILE, &usual);
+    EXPECT_LE(warnings, 3);
+    EXPECT_EQ(s.server.connections(), 0u);
+    run_until(s.loop, [&] { return s.server.connections() == 1; });
+    ::close(socket);
+    event_set_log_callback(nullptr);
+}
+
+// It had come while the loop was at something else, and was closed unread.
+TEST(CallerServer, ARequestThatWaitsUnreadIsNoIdleConnection)
+{
+    served s;
+    auto caller = s.connect();
+    run_until(s.loop, [&] { return s.server.connections() == 1; });
+    caller->send_now("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.server.stop_accepting();
+    s.await(1);
+    ASSERT_EQ(s.requests.size(), 1u);
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "first");
+}
+
+// Its caller relied on the time-out of its last answer; the close crossed its
+// next request.
+TEST(CallerServer, AShorterIdleTimeoutClosesNoConnectionThatIsIdleAlready)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "first");
+    caller_server_limits shorter;
+    shorter.idle_timeout = 100ms;
+    s.server.set_limits(shorter);
+    run_for(s.loop, 1300ms);
+    EXPECT_FALSE(caller->closed);
+    caller->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_until(s.loop, [&] { return caller->closed || s.held.size() == 2; });
+    ASSERT_EQ(s.held.size(), 2u);
+    s.held[1]->reply(200, {}, "second");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_NE(position(*caller, "second"), std::string::npos);
+}
+
+// It was told so only on a connection without earlier requests, and waited.
+TEST(CallerServer, ACallerThatAsksFirstIsToldToGoOnAtItsTurn)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                 "Expect: 100-continue\r\n\r\n");
+    s.await(1);
+    run_for(s.loop, 20ms);
+    EXPECT_TRUE(caller->received.empty());
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "first");
+    run_for(s.loop, 50ms);
+    EXPECT_TRUE(
+        caller->received.ends_with("firstHTTP/1.1 100 Continue\r\n\r\n"));
+    caller->send("ok");
+    s.await(2);
+    ASSERT_EQ(s.requests.size(), 2u);
+    EXPECT_EQ(s.requests[1].body, "ok");
+}
+
+// HTTP clients offer another protocol beside a plain request.
+TEST(CallerServer, AnOfferToUpgradeIsAnsweredAsAPlainRequest)
+{
+    served s;
+    auto caller = s.connect();
+    for (const std::string_view body : {"", "abc"})
+        caller->send("POST /1 HTTP/1.1\r\nHost: a\r\n"
+                     "Connection: Upgrade, HTTP2-Settings\r\n"
+                     "Upgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAoAAA\r\n"
+                     "Content-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" +
+                     std::string(body));
+    s.await(2);
+    ASSERT_EQ(s.requests.size(), 2u);
+    EXPECT_EQ(s.requests[1].body, "abc");
+    s.held[0]->reply(200, {}, "first");
+    s.held[1]->reply(200, {}, "second");
+    s.await_text(*caller, "second");
+}
+
+// The sweep once took the time since the last answer for idle while the next
+// request was read, and dropped that request.
+TEST(CallerServer, ARequestThatIsBeingReadIsNoIdleConnection)
+{
+    caller_server_limits limits;
+    limits.idle_timeout = 100ms;
+    served s(limits);
+    auto caller = s.connect();
+    caller->send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nha");
+    run_for(s.loop, 1300ms);
+    EXPECT_FALSE(caller->closed);
+    caller->send("lf");
+    run_until(s.loop, [&] { return caller->closed || !s.held.empty(); });
+    ASSERT_EQ(s.held.size(), 1u);
+    s.held[0]->reply(200, {}, "first");
+    s.await_text(*caller, "first");
+}
+
 // Exchanges are still out when the server is destroyed.
 TEST(CallerServer, ExchangesMayOutlastTheServer)
 {
