Give the router's sources rooms that follow a request and a change

apps/router was 47 files in one folder. What a request goes through is in requests/ and targets/, what a change of the platform goes through in state/ and peers/, answers without a target in directory/, how platforms speak in languages/, logs and metrics in reporting/; the program, its server and its settings stay at the top.

Files are moved and their includes name the room; nothing else changes. Built; 42 tests without processes passed.

--- a/apps/router/directory.cpp
+++ b/apps/router/directory/directory.cpp
@@ -1,4 +1,4 @@
-#include "directory.hpp"
+#include "directory/directory.hpp"
 
 #include "vanillapost/src/io/detail/cbor.hpp"
 
--- a/apps/router/directory.hpp
+++ b/apps/router/directory/directory.hpp
@@ -1,9 +1,9 @@
-#ifndef VANILLAPOST_APPS_ROUTER_DIRECTORY_HPP
-#define VANILLAPOST_APPS_ROUTER_DIRECTORY_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_DIRECTORY_DIRECTORY_HPP
+#define VANILLAPOST_APPS_ROUTER_DIRECTORY_DIRECTORY_HPP
 
-#include "knowledge.hpp"
-#include "platform_language.hpp"
-#include "state_controller.hpp"
+#include "languages/platform_language.hpp"
+#include "state/knowledge.hpp"
+#include "state/state_controller.hpp"
 #include "vanillapost/io.hpp"
 
 #include <functional>
--- a/apps/router/records_language.cpp
+++ b/apps/router/languages/records_language.cpp
@@ -1,4 +1,4 @@
-#include "records_language.hpp"
+#include "languages/records_language.hpp"
 
 #include "vanillapost/base.hpp"
 #include "vanillapost/records.hpp"
--- a/apps/router/records_language.hpp
+++ b/apps/router/languages/records_language.hpp
@@ -1,7 +1,7 @@
-#ifndef VANILLAPOST_APPS_ROUTER_RECORDS_LANGUAGE_HPP
-#define VANILLAPOST_APPS_ROUTER_RECORDS_LANGUAGE_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_LANGUAGES_RECORDS_LANGUAGE_HPP
+#define VANILLAPOST_APPS_ROUTER_LANGUAGES_RECORDS_LANGUAGE_HPP
 
-#include "platform_language.hpp"
+#include "languages/platform_language.hpp"
 
 namespace vanillapost::router {
 
--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -1,6 +1,6 @@
 #include "../../platform/language.hpp"
 #include "../../platform/store_client.hpp"
-#include "records_language.hpp"
+#include "languages/records_language.hpp"
 #include "router_server.hpp"
 
 #include "vanillapost/records.hpp"
--- a/apps/router/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -1,4 +1,4 @@
-#include "peer_controller.hpp"
+#include "peers/peer_controller.hpp"
 
 #include "vanillapost/src/io/detail/cbor.hpp"
 
--- a/apps/router/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -1,9 +1,9 @@
-#ifndef VANILLAPOST_APPS_ROUTER_PEER_CONTROLLER_HPP
-#define VANILLAPOST_APPS_ROUTER_PEER_CONTROLLER_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_PEERS_PEER_CONTROLLER_HPP
+#define VANILLAPOST_APPS_ROUTER_PEERS_PEER_CONTROLLER_HPP
 
-#include "knowledge.hpp"
-#include "router_log.hpp"
-#include "state_controller.hpp"
+#include "reporting/router_log.hpp"
+#include "state/knowledge.hpp"
+#include "state/state_controller.hpp"
 #include "vanillapost/src/io/datagram_socket.hpp"
 
 #include <functional>
--- a/apps/router/router_log.cpp
+++ b/apps/router/reporting/router_log.cpp
@@ -1,4 +1,4 @@
-#include "router_log.hpp"
+#include "reporting/router_log.hpp"
 
 namespace vanillapost::router {
 
--- a/apps/router/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -1,4 +1,4 @@
-#include "router_metrics.hpp"
+#include "reporting/router_metrics.hpp"
 
 #include "vanillapost/exposition.hpp"
 
--- a/apps/router/booking_claims.cpp
+++ b/apps/router/requests/booking_claims.cpp
@@ -1,6 +1,6 @@
-#include "booking_claims.hpp"
+#include "requests/booking_claims.hpp"
 
-#include "request_limits.hpp"
+#include "requests/request_limits.hpp"
 
 #include <algorithm>
 
--- a/apps/router/booking_claims.hpp
+++ b/apps/router/requests/booking_claims.hpp
@@ -1,9 +1,9 @@
-#ifndef VANILLAPOST_APPS_ROUTER_BOOKING_CLAIMS_HPP
-#define VANILLAPOST_APPS_ROUTER_BOOKING_CLAIMS_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_REQUESTS_BOOKING_CLAIMS_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUESTS_BOOKING_CLAIMS_HPP
 
-#include "claim_driver.hpp"
-#include "request_filters.hpp"
-#include "router_log.hpp"
+#include "reporting/router_log.hpp"
+#include "requests/claim_driver.hpp"
+#include "requests/request_filters.hpp"
 
 #include <map>
 
--- a/apps/router/claim_driver.cpp
+++ b/apps/router/requests/claim_driver.cpp
@@ -1,4 +1,4 @@
-#include "claim_driver.hpp"
+#include "requests/claim_driver.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/apps/router/problem.cpp
+++ b/apps/router/requests/problem.cpp
@@ -1,4 +1,4 @@
-#include "problem.hpp"
+#include "requests/problem.hpp"
 
 #include "vanillapost/base.hpp"
 
--- a/apps/router/problem.hpp
+++ b/apps/router/requests/problem.hpp
@@ -1,7 +1,7 @@
-#ifndef VANILLAPOST_APPS_ROUTER_PROBLEM_HPP
-#define VANILLAPOST_APPS_ROUTER_PROBLEM_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_REQUESTS_PROBLEM_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUESTS_PROBLEM_HPP
 
-#include "platform_language.hpp"
+#include "languages/platform_language.hpp"
 #include "vanillapost/attempts.hpp"
 #include "vanillapost/src/io/caller_server.hpp"
 
--- a/apps/router/request_answers.cpp
+++ b/apps/router/requests/request_answers.cpp
@@ -1,6 +1,6 @@
-#include "request_task.hpp"
+#include "requests/request_task.hpp"
 
-#include "request_limits.hpp"
+#include "requests/request_limits.hpp"
 
 #include <algorithm>
 
--- a/apps/router/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -1,7 +1,7 @@
-#include "request_task.hpp"
+#include "requests/request_task.hpp"
 
-#include "request_limits.hpp"
-#include "target_message.hpp"
+#include "requests/request_limits.hpp"
+#include "targets/target_message.hpp"
 
 #include <algorithm>
 
--- a/apps/router/request_context.hpp
+++ b/apps/router/requests/request_context.hpp
@@ -1,15 +1,15 @@
-#ifndef VANILLAPOST_APPS_ROUTER_REQUEST_CONTEXT_HPP
-#define VANILLAPOST_APPS_ROUTER_REQUEST_CONTEXT_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_CONTEXT_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_CONTEXT_HPP
 
-#include "booking_claims.hpp"
-#include "knowledge.hpp"
-#include "platform_language.hpp"
-#include "prober.hpp"
-#include "route_statistics.hpp"
-#include "router_log.hpp"
-#include "router_metrics.hpp"
-#include "service_budgets.hpp"
-#include "target_connections.hpp"
+#include "languages/platform_language.hpp"
+#include "reporting/router_log.hpp"
+#include "reporting/router_metrics.hpp"
+#include "requests/booking_claims.hpp"
+#include "requests/route_statistics.hpp"
+#include "requests/service_budgets.hpp"
+#include "state/knowledge.hpp"
+#include "targets/prober.hpp"
+#include "targets/target_connections.hpp"
 
 namespace vanillapost::router {
 
--- a/apps/router/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -1,4 +1,4 @@
-#include "request_engine.hpp"
+#include "requests/request_engine.hpp"
 
 #include <algorithm>
 
--- a/apps/router/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -1,7 +1,7 @@
-#ifndef VANILLAPOST_APPS_ROUTER_REQUEST_ENGINE_HPP
-#define VANILLAPOST_APPS_ROUTER_REQUEST_ENGINE_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_ENGINE_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_ENGINE_HPP
 
-#include "request_task.hpp"
+#include "requests/request_task.hpp"
 #include "router_settings.hpp"
 
 #include <map>
--- a/apps/router/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -1,4 +1,4 @@
-#include "request_filters.hpp"
+#include "requests/request_filters.hpp"
 
 #include "vanillapost/base.hpp"
 #include "vanillapost/idempotency.hpp"
--- a/apps/router/request_filters.hpp
+++ b/apps/router/requests/request_filters.hpp
@@ -1,8 +1,8 @@
-#ifndef VANILLAPOST_APPS_ROUTER_REQUEST_FILTERS_HPP
-#define VANILLAPOST_APPS_ROUTER_REQUEST_FILTERS_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_FILTERS_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_FILTERS_HPP
 
-#include "knowledge.hpp"
-#include "problem.hpp"
+#include "requests/problem.hpp"
+#include "state/knowledge.hpp"
 
 #include <functional>
 #include <optional>
--- a/apps/router/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -1,7 +1,7 @@
-#ifndef VANILLAPOST_APPS_ROUTER_REQUEST_TASK_HPP
-#define VANILLAPOST_APPS_ROUTER_REQUEST_TASK_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_TASK_HPP
+#define VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_TASK_HPP
 
-#include "request_context.hpp"
+#include "requests/request_context.hpp"
 #include "vanillapost/attempts.hpp"
 #include "vanillapost/src/io/caller_server.hpp"
 
--- a/apps/router/route_statistics.cpp
+++ b/apps/router/requests/route_statistics.cpp
@@ -1,4 +1,4 @@
-#include "route_statistics.hpp"
+#include "requests/route_statistics.hpp"
 
 #include <algorithm>
 
--- a/apps/router/router_server.hpp
+++ b/apps/router/router_server.hpp
@@ -1,9 +1,9 @@
 #ifndef VANILLAPOST_APPS_ROUTER_ROUTER_SERVER_HPP
 #define VANILLAPOST_APPS_ROUTER_ROUTER_SERVER_HPP
 
-#include "directory.hpp"
-#include "peer_controller.hpp"
-#include "request_engine.hpp"
+#include "directory/directory.hpp"
+#include "peers/peer_controller.hpp"
+#include "requests/request_engine.hpp"
 
 namespace vanillapost::router {
 
--- a/apps/router/knowledge.cpp
+++ b/apps/router/state/knowledge.cpp
@@ -1,4 +1,4 @@
-#include "knowledge.hpp"
+#include "state/knowledge.hpp"
 
 namespace vanillapost::router {
 
--- a/apps/router/knowledge.hpp
+++ b/apps/router/state/knowledge.hpp
@@ -1,5 +1,5 @@
-#ifndef VANILLAPOST_APPS_ROUTER_KNOWLEDGE_HPP
-#define VANILLAPOST_APPS_ROUTER_KNOWLEDGE_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_STATE_KNOWLEDGE_HPP
+#define VANILLAPOST_APPS_ROUTER_STATE_KNOWLEDGE_HPP
 
 #include "vanillapost/members.hpp"
 #include "vanillapost/placement.hpp"
--- a/apps/router/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -1,4 +1,4 @@
-#include "state_controller.hpp"
+#include "state/state_controller.hpp"
 
 #include <algorithm>
 
--- a/apps/router/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -1,11 +1,11 @@
-#ifndef VANILLAPOST_APPS_ROUTER_STATE_CONTROLLER_HPP
-#define VANILLAPOST_APPS_ROUTER_STATE_CONTROLLER_HPP
-
-#include "knowledge.hpp"
-#include "platform_language.hpp"
-#include "router_log.hpp"
-#include "router_metrics.hpp"
-#include "state_table.hpp"
+#ifndef VANILLAPOST_APPS_ROUTER_STATE_STATE_CONTROLLER_HPP
+#define VANILLAPOST_APPS_ROUTER_STATE_STATE_CONTROLLER_HPP
+
+#include "languages/platform_language.hpp"
+#include "reporting/router_log.hpp"
+#include "reporting/router_metrics.hpp"
+#include "state/knowledge.hpp"
+#include "state/state_table.hpp"
 #include "vanillapost/src/io/table_follower.hpp"
 
 #include <memory>
--- a/apps/router/state_table.cpp
+++ b/apps/router/state/state_table.cpp
@@ -1,4 +1,4 @@
-#include "state_table.hpp"
+#include "state/state_table.hpp"
 
 #include <algorithm>
 #include <set>
--- a/apps/router/state_table.hpp
+++ b/apps/router/state/state_table.hpp
@@ -1,5 +1,5 @@
-#ifndef VANILLAPOST_APPS_ROUTER_STATE_TABLE_HPP
-#define VANILLAPOST_APPS_ROUTER_STATE_TABLE_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_STATE_STATE_TABLE_HPP
+#define VANILLAPOST_APPS_ROUTER_STATE_STATE_TABLE_HPP
 
 #include "vanillapost/base.hpp"
 #include "vanillapost/src/io/row_store.hpp"
--- a/apps/router/prober.cpp
+++ b/apps/router/targets/prober.cpp
@@ -1,6 +1,6 @@
-#include "prober.hpp"
+#include "targets/prober.hpp"
 
-#include "target_message.hpp"
+#include "targets/target_message.hpp"
 
 #include <vector>
 
--- a/apps/router/prober.hpp
+++ b/apps/router/targets/prober.hpp
@@ -1,11 +1,11 @@
-#ifndef VANILLAPOST_APPS_ROUTER_PROBER_HPP
-#define VANILLAPOST_APPS_ROUTER_PROBER_HPP
-
-#include "knowledge.hpp"
-#include "platform_language.hpp"
-#include "router_log.hpp"
-#include "router_metrics.hpp"
-#include "target_connections.hpp"
+#ifndef VANILLAPOST_APPS_ROUTER_TARGETS_PROBER_HPP
+#define VANILLAPOST_APPS_ROUTER_TARGETS_PROBER_HPP
+
+#include "languages/platform_language.hpp"
+#include "reporting/router_log.hpp"
+#include "reporting/router_metrics.hpp"
+#include "state/knowledge.hpp"
+#include "targets/target_connections.hpp"
 
 #include <cstdint>
 #include <map>
--- a/apps/router/target_connections.cpp
+++ b/apps/router/targets/target_connections.cpp
@@ -1,4 +1,4 @@
-#include "target_connections.hpp"
+#include "targets/target_connections.hpp"
 
 #include <algorithm>
 
--- a/apps/router/target_connections.hpp
+++ b/apps/router/targets/target_connections.hpp
@@ -1,8 +1,8 @@
-#ifndef VANILLAPOST_APPS_ROUTER_TARGET_CONNECTIONS_HPP
-#define VANILLAPOST_APPS_ROUTER_TARGET_CONNECTIONS_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_TARGETS_TARGET_CONNECTIONS_HPP
+#define VANILLAPOST_APPS_ROUTER_TARGETS_TARGET_CONNECTIONS_HPP
 
-#include "knowledge.hpp"
-#include "platform_language.hpp"
+#include "languages/platform_language.hpp"
+#include "state/knowledge.hpp"
 #include "vanillapost/io.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
--- a/apps/router/target_message.hpp
+++ b/apps/router/targets/target_message.hpp
@@ -1,7 +1,7 @@
-#ifndef VANILLAPOST_APPS_ROUTER_TARGET_MESSAGE_HPP
-#define VANILLAPOST_APPS_ROUTER_TARGET_MESSAGE_HPP
+#ifndef VANILLAPOST_APPS_ROUTER_TARGETS_TARGET_MESSAGE_HPP
+#define VANILLAPOST_APPS_ROUTER_TARGETS_TARGET_MESSAGE_HPP
 
-#include "platform_language.hpp"
+#include "languages/platform_language.hpp"
 #include "vanillapost/attempts.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
--- a/test/state_table.cpp
+++ b/test/state_table.cpp
@@ -1,4 +1,4 @@
-#include "state_table.hpp"
+#include "state/state_table.hpp"
 
 #include "vanillapost/src/io/detail/cbor.hpp"
 
--- a/test/target_message.cpp
+++ b/test/target_message.cpp
@@ -1,4 +1,4 @@
-#include "target_message.hpp"
+#include "targets/target_message.hpp"
 
 #include <gtest/gtest.h>
 
