--- a/apps/router/state/state_table.cpp
+++ b/apps/router/state/state_table.cpp
@@ -24,13 +24,10 @@
     return {bytes.begin(), bytes.end()};
 }
 
-/// Whole numbers up to here are the same in all programs that speak JSON.
-constexpr std::uint64_t max_revision = std::uint64_t{1} << 53;
-
 std::uint64_t parse_revision(const json& document)
 {
     if (!document.is_number_unsigned() ||
-        document.get<std::uint64_t>() > max_revision)
+        document.get<std::uint64_t>() > max_exact_whole)
         throw error("read state", "", "a revision that makes no sense");
     return document.get<std::uint64_t>();
 }
--- a/include/vanillapost/src/base/number_text.hpp
+++ b/include/vanillapost/src/base/number_text.hpp
@@ -2,12 +2,16 @@
 #define VANILLAPOST_SRC_BASE_NUMBER_TEXT_HPP
 
 #include <charconv>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <system_error>
 
 namespace vanillapost {
 
+/// Whole numbers up to here are the same in all programs that speak JSON.
+inline constexpr std::uint64_t max_exact_whole = std::uint64_t{1} << 53;
+
 /// Reads a text that is a number as a whole; nothing when it is none, or too
 /// large for the type.
 template <class Number>
--- a/src/io/target_link.cpp
+++ b/src/io/target_link.cpp
@@ -1,9 +1,9 @@
 #include "vanillapost/src/io/detail/target_link.hpp"
 
+#include "vanillapost/src/base/number_text.hpp"
 #include "vanillapost/src/io/detail/socket.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <utility>
@@ -24,17 +24,6 @@
     return *static_cast<target_link*>(self);
 }
 
-template <class Number>
-std::optional<Number> parse_number(std::string_view text)
-{
-    Number value{};
-    const auto end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, value);
-    if (result.ec != std::errc() || text.empty())
-        return std::nullopt;
-    return value;
-}
-
 // "timeout=10, max=100"
 std::optional<duration> announced_idle_timeout(const header_list& headers)
 {
@@ -45,10 +34,12 @@
     const auto at = value->find(key);
     if (at == std::string_view::npos)
         return std::nullopt;
-    const auto seconds = parse_number<int>(value->substr(at + key.size()));
+    const auto rest = value->substr(at + key.size());
+    const auto digits = rest.substr(0, rest.find_first_not_of("0123456789"));
+    const auto seconds = parse_number<int>(digits);
     if (!seconds)
         return std::nullopt;
-    const duration told = std::chrono::seconds(std::max(*seconds, 0));
+    const duration told = std::chrono::seconds(*seconds);
     return std::max<duration>(told - keep_alive_margin, told / 4);
 }
 
--- a/src/members/member_codec.cpp
+++ b/src/members/member_codec.cpp
@@ -1,6 +1,7 @@
 #include "vanillapost/src/members/member_codec.hpp"
 
 #include "vanillapost/src/base/error.hpp"
+#include "vanillapost/src/base/number_text.hpp"
 #include "vanillapost/src/base/text_check.hpp"
 
 namespace vanillapost {
@@ -11,13 +12,18 @@
 
 using nlohmann::json;
 
+[[noreturn]] void refuse(const char* field, const std::string& found,
+                         const char* expected)
+{
+    throw error(step, shortened(found),
+                std::string(field) + ": expected " + expected);
+}
+
 std::string read_name(const json& document, const char* field)
 {
     auto text = document.at(field).get<std::string>();
     if (!is_name_text(text))
-        throw error(step, shortened(text),
-                    std::string(field) +
-                        ": expected 1 to 200 bytes without control characters");
+        refuse(field, text, "1 to 200 bytes without control characters");
     return text;
 }
 
@@ -26,9 +32,7 @@
 {
     auto text = document.at(field).get<std::string>();
     if (!is_connectable_address(text))
-        throw error(step, shortened(text),
-                    std::string(field) +
-                        ": expected an IP number and port to connect to");
+        refuse(field, text, "an IP number and port to connect to");
     return text;
 }
 
@@ -44,9 +48,6 @@
     return value.get<std::uint64_t>();
 }
 
-/// Higher ones would keep a receiver asking for what nobody has.
-constexpr std::uint64_t max_revision = std::uint64_t{1} << 53;
-
 } // namespace
 
 json to_json(const member& who)
@@ -98,8 +99,10 @@
         heartbeat.following = document.at("f").get<bool>();
         heartbeat.store = static_cast<store_access>(read_whole(
             document, "s", static_cast<std::uint64_t>(store_access::lost)));
-        heartbeat.revisions.operators = read_whole(document, "o", max_revision);
-        heartbeat.revisions.targets = read_whole(document, "t", max_revision);
+        heartbeat.revisions.operators =
+            read_whole(document, "o", max_exact_whole);
+        heartbeat.revisions.targets =
+            read_whole(document, "t", max_exact_whole);
         return heartbeat;
     } catch (const json::exception& failure) {
         throw error(step, "", failure.what());
