--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -141,6 +141,7 @@
     if (known_.members.advance(now))
         known_.refresh_members(now);
     choose_source();
+    // Noted while readers are heard: it lasts through an outage.
     state_.knows_newest();
     send_heartbeat();
     if (known_.members.live_peers(now).empty())
