Check a member's addresses once, and make counters in one place

state_controller parsed two addresses of a member again that parse_member has refused already where nobody could connect to them; its check is the stricter one. Seven counters of router_metrics were built by the same four calls, beside make_gauge for the gauges: make_counters builds them.

No change of behaviour: names and help texts are the same.

--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -19,6 +19,16 @@
     return std::chrono::duration<double>(value).count();
 }
 
+prometheus::Family<prometheus::Counter>&
+make_counters(prometheus::Registry& registry, std::string_view name,
+              const std::string& help)
+{
+    return prometheus::BuildCounter()
+        .Name(std::string(name))
+        .Help(help)
+        .Register(registry);
+}
+
 prometheus::Gauge& make_gauge(prometheus::Registry& registry,
                               const std::string& name, const std::string& help)
 {
@@ -37,40 +47,30 @@
 }
 
 router_metrics::router_metrics()
-    : requests_(prometheus::BuildCounter()
-                    .Name(std::string(request_counter_name))
-                    .Help("Requests by service and how they ended")
-                    .Register(registry_)),
+    : requests_(make_counters(registry_, request_counter_name,
+                              "Requests by service and how they ended")),
       seconds_(prometheus::BuildHistogram()
                    .Name("vanillapost_request_seconds")
                    .Help("Time from a request to its whole answer")
                    .Register(registry_)),
-      attempts_(prometheus::BuildCounter()
-                    .Name("vanillapost_attempts_total")
-                    .Help("Requests sent to targets, by service and kind")
-                    .Register(registry_)),
-      probes_(prometheus::BuildCounter()
-                  .Name("vanillapost_probes_total")
-                  .Help("Probes of targets, by whether they were answered")
-                  .Register(registry_)),
-      unrouted_(prometheus::BuildCounter()
-                    .Name("vanillapost_unrouted_requests_total")
-                    .Help("Requests for which no route is known")
-                    .Register(registry_)
+      attempts_(make_counters(registry_, "vanillapost_attempts_total",
+                              "Requests sent to targets, by service and kind")),
+      probes_(
+          make_counters(registry_, "vanillapost_probes_total",
+                        "Probes of targets, by whether they were answered")),
+      unrouted_(make_counters(registry_, "vanillapost_unrouted_requests_total",
+                              "Requests for which no route is known")
                     .Add({})),
-      callback_failures_(prometheus::BuildCounter()
-                             .Name("vanillapost_callback_failures_total")
-                             .Help("Failures that reached the event loop")
-                             .Register(registry_)
+      callback_failures_(make_counters(registry_,
+                                       "vanillapost_callback_failures_total",
+                                       "Failures that reached the event loop")
                              .Add({})),
-      unreadable_rows_(prometheus::BuildCounter()
-                           .Name("vanillapost_unreadable_rows_total")
-                           .Help("Rows of the store that were left out")
-                           .Register(registry_)),
-      state_questions_(prometheus::BuildCounter()
-                           .Name("vanillapost_state_questions_total")
-                           .Help("Questions for a peer's state, by their end")
-                           .Register(registry_)),
+      unreadable_rows_(make_counters(registry_,
+                                     "vanillapost_unreadable_rows_total",
+                                     "Rows of the store that were left out")),
+      state_questions_(
+          make_counters(registry_, "vanillapost_state_questions_total",
+                        "Questions for a peer's state, by their end")),
       in_flight_(make_gauge(registry_, "vanillapost_requests_in_flight",
                             "Requests without their whole answer")),
       version_(make_gauge(registry_, "vanillapost_configuration_version",
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -15,15 +15,6 @@
 constexpr std::string_view member_list_key = "list";
 constexpr std::string_view from_store;
 
-member read_member(const json& document)
-{
-    auto who = parse_member(document);
-    // Checked here, so that these can be used later on without a check.
-    io::parse_address(who.peer_address);
-    io::parse_address(who.query_address);
-    return who;
-}
-
 } // namespace
 
 state_controller::state_controller(io::event_loop& loop, io::row_store& store,
@@ -161,14 +152,14 @@
 
 void state_controller::add_member(const json& document)
 {
-    known_.members.on_known(read_member(document), loop_.now());
+    known_.members.on_known(parse_member(document), loop_.now());
 }
 
 void state_controller::add_listed_members(const json& list)
 {
     for (const auto& each : list) {
         try {
-            known_.members.on_listed(read_member(each), loop_.now());
+            known_.members.on_listed(parse_member(each), loop_.now());
         } catch (const error& failure) {
             report("members_unreadable", "", failure.what());
         }
