Let the library know leaving targets, pauses and what a cold one still does

A target that has turned cold now gets nothing for a second from its owner, which only concerns targets whose cold capacity is in slots.

--- a/bench/replay/choices.hpp
+++ b/bench/replay/choices.hpp
@@ -36,6 +36,7 @@
     {
         bool measures = true;       ///< asks targets before the choice
         bool queues_always = false; ///< places whatever comes of it
+        bool keeps_pauses = true;   ///< that targets ask for
         /// \see placement_settings
         double plenty_share = placement_settings().plenty_share;
     };
@@ -94,6 +95,12 @@
                        now);
     }
 
+    void on_pause(std::size_t target, duration left, time_point now)
+    {
+        if (how_.keeps_pauses)
+            placer_.find(id_of(target))->on_pause(left, now);
+    }
+
 private:
     static target_id id_of(std::size_t index)
     {
@@ -154,6 +161,10 @@
     {
     }
 
+    void on_pause(std::size_t, duration, time_point)
+    {
+    }
+
 private:
     std::size_t draw(std::size_t count)
     {
--- a/bench/replay/load_pattern.hpp
+++ b/bench/replay/load_pattern.hpp
@@ -25,6 +25,9 @@
     int caller_attempts = 3;
     double slow_share = 0.25; ///< of machines that are slowed down now
     double per_second = 20;
+    /// Half of the targets, and then the other half, turn requests away for
+    /// that long and say so; zero for none.
+    duration pause{};
     duration length = std::chrono::seconds(20);
     std::uint64_t seed = 7;
 
--- a/include/vanillapost/attempts.hpp
+++ b/include/vanillapost/attempts.hpp
@@ -8,6 +8,7 @@
 #include "src/attempts/attempt_outcome.hpp"
 #include "src/attempts/caller_patience.hpp"
 #include "src/attempts/repeat_budget.hpp"
+#include "src/attempts/return_time.hpp"
 #include "src/attempts/run_state.hpp"
 
 #endif
--- a/include/vanillapost/src/placement/placement_request.hpp
+++ b/include/vanillapost/src/placement/placement_request.hpp
@@ -4,6 +4,7 @@
 #include "../base/identifier.hpp"
 #include "../base/time.hpp"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -41,6 +42,8 @@
 /// No target can be used at all.
 struct no_target
 {
+    /// Until the first of them can, where all have asked for a pause.
+    std::optional<duration> until_usable;
 };
 
 using placement_decision =
--- a/include/vanillapost/src/placement/target_knowledge.hpp
+++ b/include/vanillapost/src/placement/target_knowledge.hpp
@@ -46,6 +46,24 @@
     /// The target bears little for that long from now; zero ends it.
     void on_cold(duration left, time_point now);
 
+    /// The target turned a request away and wants nothing for that long.
+    void on_pause(duration length, time_point now);
+
+    /// Whether the target has asked for a pause that is not over.
+    bool is_paused(time_point now) const
+    {
+        return now < paused_until_;
+    }
+
+    /// What is left of its pause.
+    duration pause_left(time_point now) const;
+
+    /// How long this instance has known that it is cold.
+    duration cold_for(time_point now) const
+    {
+        return now - cold_since_;
+    }
+
     /// The target says that it takes no new work, or that it does again.
     void on_draining(bool draining)
     {
@@ -116,7 +134,9 @@
     time_point failed_at_{};
     double slowness_ = 1;
     time_point decayed_at_{};
+    time_point cold_since_{};
     time_point cold_until_{};
+    time_point paused_until_{};
     time_point suspect_until_{};
     int suspicions_ = 0; ///< in a row
 };
--- a/include/vanillapost/src/placement/target_placer.hpp
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -24,6 +24,9 @@
     duration fresh_probe = std::chrono::milliseconds(400);
     /// A target that drains or is cold is asked again after this time.
     duration recheck = std::chrono::seconds(1);
+    /// When a target turns cold, work that instances sent before they knew may
+    /// go on there, unseen in reports that mislead: it gets no more meanwhile.
+    duration cold_settling = std::chrono::seconds(1);
     std::size_t probes_per_round = 3;
     int probe_rounds = 2;
     /// Requests that a target may have waiting, for each slot.
@@ -67,6 +70,10 @@
     placement_decision choose(const placement_request& request,
                               const placement_effort& effort, time_point now);
 
+    /// Looks again at whether one target may be used.
+    void refresh(const target_id& id, const target_catalog& catalog,
+                 time_point now);
+
     /// Knowledge of a target; nothing when it is not listed any more.
     target_knowledge* find(const target_id& id);
 
@@ -116,6 +123,9 @@
     bool may_crowd(const candidate& each, const placement_effort& effort,
                    time_point now) const;
     std::vector<target_id> stale(std::span<const candidate> order) const;
+    std::optional<duration> shortest_pause(const service_id& service,
+                                           time_point now) const;
+    void list_usable(const service_id& service);
     std::vector<target_id> suspects(const placement_request& request,
                                     time_point now) const;
 
--- a/include/vanillapost/src/targets/target_catalog.hpp
+++ b/include/vanillapost/src/targets/target_catalog.hpp
@@ -1,6 +1,7 @@
 #ifndef VANILLAPOST_SRC_TARGETS_TARGET_CATALOG_HPP
 #define VANILLAPOST_SRC_TARGETS_TARGET_CATALOG_HPP
 
+#include "departure_notes.hpp"
 #include "listed_target.hpp"
 
 #include <map>
@@ -46,6 +47,16 @@
     /// is out.
     void set_evacuated(std::set<data_centre_id> data_centres);
 
+    /// A target said in an answer that it leaves.
+    /// \param born  of the start that was asked, from its row; Unix ms
+    /// \return false when it was known
+    bool on_told_leaving(const target_id& id, std::int64_t born);
+
+    /// A peer passed that on.
+    /// \return false when it was known
+    bool on_peer_told_leaving(const target_id& id, std::int64_t born,
+                              time_point now);
+
     /// Carries out the removals that are due; returns whether there were any.
     bool advance(time_point now);
 
@@ -54,9 +65,9 @@
 
     const listed_target* find(const target_id& id) const;
 
-    /// Whether the target may get work: listed, not draining, and its data
-    /// centre not taken out.
-    bool is_usable(const listed_target& record) const;
+    /// Whether the target may get work: its data centre is not taken out, and
+    /// it does not leave (\ref departure_notes).
+    bool is_usable(const listed_target& record, time_point now) const;
 
     const std::map<target_id, listed_target>& all() const
     {
@@ -73,6 +84,7 @@
     std::map<target_id, listed_target> records_;
     std::map<target_id, time_point> removals_; ///< when each is due
     std::set<data_centre_id> evacuated_;
+    departure_notes departures_;
     std::optional<time_point> list_back_;
 };
 
--- a/include/vanillapost/targets.hpp
+++ b/include/vanillapost/targets.hpp
@@ -3,6 +3,7 @@
 
 /// Umbrella header of the targets module: the targets that the platform lists.
 
+#include "src/targets/departure_notes.hpp"
 #include "src/targets/listed_target.hpp"
 #include "src/targets/target_catalog.hpp"
 
--- a/src/placement/target_knowledge.cpp
+++ b/src/placement/target_knowledge.cpp
@@ -118,9 +118,22 @@
 
 void target_knowledge::on_cold(duration left, time_point now)
 {
+    if (!is_cold(now))
+        cold_since_ = now;
     cold_until_ = now + left;
 }
 
+// A shorter pause that it asks for later does not take back the longer one.
+void target_knowledge::on_pause(duration length, time_point now)
+{
+    paused_until_ = std::max(paused_until_, now + length);
+}
+
+duration target_knowledge::pause_left(time_point now) const
+{
+    return std::max(paused_until_ - now, duration::zero());
+}
+
 double target_knowledge::load(time_point now) const
 {
     if (!report_)
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -83,7 +83,7 @@
         if (told_cold)
             each.knowledge.on_cold(record.cold_left, now);
         each.record = record;
-        each.usable = catalog.is_usable(record);
+        each.usable = catalog.is_usable(record, now);
         const auto rate = cold_rates.find(record.service);
         each.cold_rate = rate == cold_rates.end() ? 0 : rate->second;
         if (added || moved)
@@ -92,8 +92,9 @@
             each.preference = preference_of(settings_.self, id);
     }
     std::erase_if(targets_, [&](const auto& each) {
-        return !catalog.find(each.first) &&
-               each.second.knowledge.in_flight() == 0;
+        const auto& known = each.second.knowledge;
+        return !catalog.find(each.first) && known.in_flight() == 0 &&
+               !known.is_paused(now);
     });
     services_.clear();
     for (auto& [id, each] : targets_)
@@ -101,6 +102,27 @@
             services_[each.record.service].push_back(&each);
 }
 
+void target_placer::refresh(const target_id& id, const target_catalog& catalog,
+                            time_point now)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end())
+        return;
+    auto& each = found->second;
+    const auto* record = catalog.find(id);
+    each.usable = record && catalog.is_usable(*record, now);
+    list_usable(each.record.service);
+}
+
+void target_placer::list_usable(const service_id& service)
+{
+    auto& usable = services_[service];
+    usable.clear();
+    for (auto& [id, each] : targets_)
+        if (each.usable && each.record.service == service)
+            usable.push_back(&each);
+}
+
 void target_placer::set_members(std::vector<owner_candidate> members)
 {
     members_ = std::move(members);
@@ -117,7 +139,7 @@
         auto doubtful = suspects(request, now);
         if (effort.may_measure && !doubtful.empty())
             return measure_first{std::move(doubtful)};
-        return no_target{};
+        return no_target{shortest_pause(request.service, now)};
     }
     const auto& best = order.front();
     if (effort.may_measure) {
@@ -233,7 +255,8 @@
 bool target_placer::may_use(entry& each, const placement_request& request,
                             time_point now) const
 {
-    if (each.knowledge.is_doubtful(now) || each.knowledge.is_draining())
+    const auto& known = each.knowledge;
+    if (known.is_doubtful(now) || known.is_draining() || known.is_paused(now))
         return false;
     if (std::ranges::find(request.tried, each.record.id) != request.tried.end())
         return false;
@@ -249,7 +272,9 @@
                                   time_point now) const
 {
     const bool fresh = each.knowledge.report_age(now) <= settings_.fresh_report;
-    return is_first_owner(each) && fresh &&
+    const bool settled =
+        each.knowledge.cold_for(now) >= settings_.cold_settling;
+    return is_first_owner(each) && fresh && settled &&
            each.knowledge.load(now) + 1 <= cold_slots + 0.5;
 }
 
@@ -340,7 +365,8 @@
 bool target_placer::must_recheck(const entry& each, time_point now) const
 {
     const bool cold = each.record.cold_slots && each.knowledge.is_cold(now);
-    if (!cold && !each.knowledge.is_draining())
+    const bool says_no = cold || each.knowledge.is_draining();
+    if (!says_no || each.knowledge.is_paused(now))
         return false;
     const bool waits_for_slot = cold && is_first_owner(each);
     return each.knowledge.probe_age(now) >
@@ -359,6 +385,23 @@
     }
 }
 
+// Nothing when one that has not asked for a pause may be used any moment.
+std::optional<duration> target_placer::shortest_pause(const service_id& service,
+                                                      time_point now) const
+{
+    std::optional<duration> result;
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return result;
+    for (const auto* each : found->second) {
+        if (!each->knowledge.is_paused(now))
+            return std::nullopt;
+        const auto left = each->knowledge.pause_left(now);
+        result = std::min(result.value_or(left), left);
+    }
+    return result;
+}
+
 std::vector<target_id> target_placer::suspects(const placement_request& request,
                                                time_point now) const
 {
@@ -373,7 +416,7 @@
                            request.tried.end();
         const bool unsure =
             each->knowledge.is_suspect(now) || must_recheck(*each, now);
-        if (unsure && !tried)
+        if (unsure && !tried && !each->knowledge.is_paused(now))
             result.push_back(each->record.id);
     }
     return result;
--- a/src/targets/target_catalog.cpp
+++ b/src/targets/target_catalog.cpp
@@ -71,6 +71,17 @@
     evacuated_ = std::move(data_centres);
 }
 
+bool target_catalog::on_told_leaving(const target_id& id, std::int64_t born)
+{
+    return departures_.on_told(id, born);
+}
+
+bool target_catalog::on_peer_told_leaving(const target_id& id,
+                                          std::int64_t born, time_point now)
+{
+    return departures_.on_peer_told(id, born, now);
+}
+
 bool target_catalog::advance(time_point now)
 {
     bool removed = false;
@@ -101,9 +112,11 @@
     return found == records_.end() ? nullptr : &found->second;
 }
 
-bool target_catalog::is_usable(const listed_target& record) const
+bool target_catalog::is_usable(const listed_target& record,
+                               time_point now) const
 {
-    return !record.draining && !evacuated_.contains(record.data_centre);
+    return !record.draining && !evacuated_.contains(record.data_centre) &&
+           !departures_.is_leaving(record.id, record.born_ms, now);
 }
 
 } // namespace vanillapost
--- a/test/attempts.cpp
+++ b/test/attempts.cpp
@@ -185,4 +185,15 @@
     EXPECT_TRUE(budget.has_room(now));
 }
 
+TEST(ReturnTime, CallersAreSpreadAroundAMeanAndBehindAnEarliestTime)
+{
+    EXPECT_EQ(spread_return({400ms}, 0), 200ms);
+    EXPECT_EQ(spread_return({400ms}, 1), 600ms);
+    EXPECT_EQ(spread_return({20s}, 1), 1500ms);
+    EXPECT_EQ(spread_return({0ms}, 0), 75ms);
+    EXPECT_EQ(spread_return({2s, true}, 0), 2s);
+    EXPECT_EQ(spread_return({2s, true}, 1), 2500ms);
+    EXPECT_EQ(spread_return({1h, true}, 0), 60s);
+}
+
 } // namespace
--- a/test/overload.cpp
+++ b/test/overload.cpp
@@ -93,6 +93,33 @@
     }
 }
 
+// Targets that turn requests away have room to show, which draws more of them.
+TEST(Overload, KeepingThePausesOfTargetsServesMoreInABurst)
+{
+    auto pattern = patterns_of_today().front();
+    pattern.per_second = 0.8 * pattern.capacity();
+    pattern.pause = 1s;
+    const auto play = [&](bool keeps, bool shares) {
+        return load_replay(
+                   pattern,
+                   [&](std::size_t instance) {
+                       return choice(library_choice(pattern, instance,
+                                                    {.keeps_pauses = keeps}));
+                   },
+                   shares)
+            .run();
+    };
+    const auto kept = play(true, false);
+    const auto ignored = play(false, false);
+    const auto shared = play(true, true);
+    EXPECT_GT(kept.in_time_share(), ignored.in_time_share());
+    // Once an instance, target and pause, and once more within a round trip.
+    const auto pauses = pattern.length / pattern.pause;
+    EXPECT_LE(kept.turned_away, 2 * static_cast<int>(pauses * pattern.targets *
+                                                     pattern.instances));
+    EXPECT_GT(ignored.turned_away, 10 * kept.turned_away);
+}
+
 // Callers who come back have less time left than those who set out.
 TEST(Overload, WhoCameBackIsToldFromWhoSetOut)
 {
