Bound what a target or a caller sends without end

Cause: the reader counted names and values of a head only. Blank lines, first lines, chunk sizes with leading zeros, extensions and trailers ran to the parser's own limit of 1 MiB each, interim and late answers to no limit at all. Between chunks the parser took any two bytes for the end of a line. A body that stopped and an answer that nobody read kept their connections; callers of HTTP/1.0 got chunks. Change: http1_reader counts all bytes outside of bodies and reads chunk lines itself before the parser; target_link bounds what stands before an answer and says in what way it was none; a caller's stalled body ends in 408, its unread answer with the connection; an answer without a length ends in a reset when it breaks.

--- a/include/vanillapost/src/io/caller_server.hpp
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -24,6 +24,9 @@
     std::size_t max_body_bytes = 64 * 1024 * 1024;
     duration header_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::seconds(15);
+    /// Time without progress in the body of a request, or in an answer that
+    /// its caller does not read.
+    duration stall_timeout = std::chrono::seconds(20);
     std::size_t max_pipelined = 64; ///< requests of one connection at a time
     std::size_t max_connections = 8192;
 };
--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -22,9 +22,11 @@
     http_request request;
     std::string method; ///< stays when the request is taken
     bool keep_alive = true;
-    bool has_body = true; ///< of the answer
+    bool has_body = true;     ///< of the answer
+    bool knows_chunks = true; ///< its caller does
     bool chunked = false;
-    std::uint64_t left = 0; ///< of a body with a length
+    bool until_close = false; ///< the connection's end ends the answer
+    std::uint64_t left = 0;   ///< of a body with a length
     bool finished = false;
     bool broken = false; ///< the connection ends at its turn
     std::string held;    ///< answer bytes behind those of earlier requests
@@ -79,6 +81,8 @@
 private:
     static void on_readable(bufferevent* stream, void* self);
     static void on_written(bufferevent* stream, void* self);
+    static void on_output(evbuffer* output, const evbuffer_cb_info* info,
+                          void* self);
     static void on_event(bufferevent* stream, short what, void* self);
 
     template <class Callback>
@@ -91,6 +95,9 @@
     void flush();
     void drop_slots(std::size_t kept = 0);
     bool has_unread() const;
+    std::size_t pending_output() const;
+    void reset();
+    void check_reading(time_point now);
     void note_idle();
     void tell_to_go_on();
     void close_gracefully();
@@ -110,6 +117,8 @@
     bool reading_ = false;
     bool ended_ = false;
     time_point message_since_{}; ///< its first byte
+    time_point heard_{};         ///< last bytes of a request
+    time_point written_{};       ///< last progress of the output
     time_point idle_since_{};
     duration idle_limit_{}; ///< in force when it became idle
     time_point closing_since_{};
--- a/include/vanillapost/src/io/detail/http1_reader.hpp
+++ b/include/vanillapost/src/io/detail/http1_reader.hpp
@@ -19,6 +19,7 @@
     int status = 0;     ///< of an answer
     header_list headers;
     bool keep_alive = true;
+    bool is_1_0 = false;               ///< of a peer that knows no chunks
     bool ends_with_connection = false; ///< an answer without a length
 };
 
@@ -42,11 +43,16 @@
     need_more,
     complete, ///< one message has ended; later bytes were left
     malformed,
-    headers_too_large
+    headers_too_large, ///< or what stands before them
+    framing_too_large  ///< sizes and extensions of chunks, and trailers
 };
 
 /// Reads HTTP/1.1 messages one after the other; http_parser does the parsing.
 ///
+/// Whatever a peer sends without end is bounded here, but for the body itself:
+/// blank lines before a head and the head, the lines between two pieces of a
+/// chunked body, and its trailers.
+///
 /// evhttp was not taken on the way of callers and targets: it answers
 /// pipelined requests one at a time, and hides from its user the bytes that
 /// follow an answer.
@@ -57,11 +63,16 @@
     http1_reader(const http1_reader&) = delete;
     http1_reader& operator=(const http1_reader&) = delete;
 
+    /// Of names and values. Separators may make up as much again.
     void set_max_header_bytes(std::size_t limit)
     {
         max_header_bytes_ = limit;
     }
 
+    /// Bytes of one line between two pieces of a chunked body, and of all
+    /// trailers.
+    static constexpr std::size_t max_framing_bytes = 8 * 1024;
+
     /// The next answer has no body whatever its headers say.
     void expect_no_body(bool value)
     {
@@ -92,11 +103,15 @@
                         std::size_t length);
     static int on_headers(http_parser* parser);
     static int on_body(http_parser* parser, const char* at, std::size_t length);
+    static int on_chunk(http_parser* parser);
     static int on_complete(http_parser* parser);
 
     bool count_header(std::size_t bytes);
+    bool in_chunk() const;
     std::string_view next_part(std::string_view bytes) const;
+    read_result check_lines(std::string_view part);
     bool has_lone_cr(std::string_view part);
+    bool breaks_chunk_lines(std::string_view part);
 
     http_parser parser_{};
     message_handlers handlers_;
@@ -108,7 +123,12 @@
     bool complete_ = false;
     bool no_body_ = false;
     bool headers_done_ = false;
-    bool after_cr_ = false; ///< within a head
+    bool after_cr_ = false; ///< within a head, or between chunks
+    bool chunked_ = false;
+    std::uint64_t chunk_left_ = 0;  ///< bytes of the chunk that is read
+    std::size_t line_end_left_ = 0; ///< of the CR LF behind a chunk
+    bool line_ended_with_cr_ = false;
+    std::size_t line_bytes_ = 0; ///< outside of bodies, since the last piece
     bool headers_too_large_ = false;
 };
 
--- a/include/vanillapost/src/io/detail/target_link.hpp
+++ b/include/vanillapost/src/io/detail/target_link.hpp
@@ -70,7 +70,8 @@
     void take_end();
     void handle_event(short what);
     void complete();
-    void fail(std::string reason);
+    bool skips_too_much(std::size_t used);
+    void fail(std::string reason, answer_fault fault = answer_fault::none);
 
     event_loop& loop_;
     address target_;
@@ -88,7 +89,8 @@
     bool busy_ = false;
     bool skipping_ = false; ///< the message is not the answer to this call
     bool answered_ = false;
-    bool keep_ = true; ///< usable for another call
+    std::size_t skipped_bytes_ = 0; ///< of messages before the answer
+    bool keep_ = true;              ///< usable for another call
     bool ended_ = false;
     time_point heard_{};
     time_point expires_{};
--- a/include/vanillapost/src/io/target_pool.hpp
+++ b/include/vanillapost/src/io/target_pool.hpp
@@ -26,10 +26,19 @@
     std::optional<std::uint64_t> length; ///< of the body, if it is told
 };
 
+/// Whether what came from a target was an answer.
+enum class answer_fault
+{
+    none,      ///< as far as it came
+    malformed, ///< bytes that are no answer
+    too_long   ///< it goes on beyond every bound
+};
+
 struct target_failure
 {
     bool sent = false; ///< a byte of the request may have reached the target
     std::string reason;
+    answer_fault fault = answer_fault::none;
 };
 
 /// Receives an answer piece by piece. `on_done` or `on_failure` comes last and
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <event2/event.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace vanillapost::io::detail {
 
@@ -18,6 +19,8 @@
 /// How long a connection that we have closed may go on sending. Closing it
 /// with bytes unread would reset it and lose the answer on its way.
 constexpr duration linger = 1s;
+/// A request that takes longer to arrive has no caller who waits for it.
+constexpr duration longest_reading = 60s;
 constexpr int status_bad_request = 400;
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
@@ -65,6 +68,7 @@
                                          BEV_OPT_CLOSE_ON_FREE));
     bufferevent_setcb(stream_.get(), &on_readable, &on_written, &on_event,
                       this);
+    evbuffer_add_cb(bufferevent_get_output(stream_.get()), &on_output, this);
     reader_.set_max_header_bytes(host.limits.max_header_bytes);
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
 }
@@ -124,9 +128,11 @@
         const auto result = reader_.read(
             {static_cast<const char*>(piece.iov_base), piece.iov_len}, used);
         evbuffer_drain(input, used);
+        heard_ = host_.loop->now();
         if (body_too_large_)
             refuse(status_too_large, "the body is larger than allowed");
-        else if (result == read_result::malformed)
+        else if (result == read_result::malformed ||
+                 result == read_result::framing_too_large)
             refuse(status_bad_request, "not an HTTP/1.1 request");
         else if (result == read_result::headers_too_large)
             refuse(status_headers_too_large, "the headers are too large");
@@ -140,6 +146,7 @@
     incoming_ = std::make_unique<caller_slot>();
     incoming_->connection = this;
     incoming_->keep_alive = head.keep_alive;
+    incoming_->knows_chunks = !head.is_1_0;
     incoming_->method = head.method;
     incoming_->request.method = std::move(head.method);
     incoming_->request.target = std::move(head.target);
@@ -233,6 +240,10 @@
 {
     while (!slots_.empty()) {
         auto& front = *slots_.front();
+        if (front.broken && front.until_close) {
+            reset();
+            return;
+        }
         if (front.broken) {
             drop_slots();
             break;
@@ -277,7 +288,7 @@
     closing_ = true;
     if (wrote_close_ || ended_)
         return;
-    if (evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0)
+    if (pending_output() > 0)
         return; // called again once it is written
     wrote_close_ = true;
     closing_since_ = host_.loop->now();
@@ -302,6 +313,18 @@
         end();
 }
 
+// An orderly end would make an answer look complete that has no length.
+void caller_connection::reset()
+{
+    const struct ::linger at_once
+    {
+        1, 0
+    };
+    ::setsockopt(bufferevent_getfd(stream_.get()), SOL_SOCKET, SO_LINGER,
+                 &at_once, sizeof at_once);
+    break_off();
+}
+
 void caller_connection::end()
 {
     if (ended_)
@@ -333,8 +356,7 @@
 
 std::size_t caller_connection::pending_bytes(const caller_slot& slot) const
 {
-    return slot.held.size() +
-           evbuffer_get_length(bufferevent_get_output(stream_.get()));
+    return slot.held.size() + pending_output();
 }
 
 // After a time in which the loop did not run, the kernel holds bytes that came
@@ -363,13 +385,43 @@
             end();
         return;
     }
-    // Once only: answers to earlier requests may still be due.
-    if (!closing_ && reader_.in_message() && !headers_read_ &&
-        now - message_since_ > host_.limits.header_timeout)
-        refuse(status_timeout, "the headers took too long");
+    const bool unread =
+        pending_output() > 0 && now - written_ > host_.limits.stall_timeout;
+    if (unread) {
+        end();
+        return;
+    }
+    check_reading(now);
     const auto limit = std::max(idle_limit_, host_.limits.idle_timeout);
     if (now - idle_since_ > limit + idle_slack)
         close_if_idle();
 }
 
+// Once only: answers to earlier requests may still be due.
+void caller_connection::check_reading(time_point now)
+{
+    if (closing_ || !reader_.in_message())
+        return;
+    const auto taken = now - message_since_;
+    if (!headers_read_ && taken > host_.limits.header_timeout)
+        refuse(status_timeout, "the headers took too long");
+    else if (now - heard_ > host_.limits.stall_timeout ||
+             taken > longest_reading)
+        refuse(status_timeout, "the body took too long");
+}
+
+std::size_t caller_connection::pending_output() const
+{
+    return evbuffer_get_length(bufferevent_get_output(stream_.get()));
+}
+
+void caller_connection::on_output(evbuffer*, const evbuffer_cb_info* info,
+                                  void* self)
+{
+    auto& connection = connection_of(self);
+    const bool begins = info->orig_size == 0 && info->n_added > 0;
+    if (begins || info->n_deleted > 0)
+        connection.written_ = connection.host_.loop->now();
+}
+
 } // namespace vanillapost::io::detail
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -32,6 +32,8 @@
 
 std::string framing_line(const detail::caller_slot& slot)
 {
+    if (slot.until_close)
+        return "";
     if (slot.chunked)
         return "Transfer-Encoding: chunked\r\n";
     return "Content-Length: " + std::to_string(slot.left) + "\r\n";
@@ -92,7 +94,10 @@
 {
     begun_ = true;
     slot_->has_body = has_body(slot_->method, status);
-    slot_->chunked = slot_->has_body && !length;
+    slot_->chunked = slot_->has_body && !length && slot_->knows_chunks;
+    slot_->until_close = slot_->has_body && !length && !slot_->knows_chunks;
+    if (slot_->until_close)
+        slot_->keep_alive = false;
     slot_->left = slot_->has_body ? length.value_or(0) : 0;
 }
 
@@ -126,6 +131,10 @@
     if (!slot_ || data.empty())
         return;
     auto& connection = *slot_->connection;
+    if (slot_->until_close) {
+        connection.send(*slot_, data);
+        return;
+    }
     if (!slot_->chunked) {
         if (data.size() > slot_->left) {
             break_off();
--- a/src/io/http1_reader.cpp
+++ b/src/io/http1_reader.cpp
@@ -12,6 +12,10 @@
 // The parser's own limit counts for all connections of a process; the limit
 // of one connection is checked here.
 constexpr std::uint32_t parser_header_limit = 1024 * 1024;
+/// Bytes of a head for each one of its names and values, at the most, and for
+/// its first line beside them.
+constexpr std::size_t separator_factor = 2;
+constexpr std::size_t first_line_slack = 1024;
 constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -73,6 +77,7 @@
         made.on_header_value = &on_value;
         made.on_headers_complete = &on_headers;
         made.on_body = &on_body;
+        made.on_chunk_header = &on_chunk;
         made.on_message_complete = &on_complete;
         return made;
     }();
@@ -80,8 +85,9 @@
     used = 0;
     do {
         const auto part = next_part(bytes.substr(used));
-        if (!headers_done_ && has_lone_cr(part))
-            return read_result::malformed;
+        if (const auto checked = check_lines(part);
+            checked != read_result::need_more)
+            return checked;
         const auto taken =
             http_parser_execute(&parser_, &settings, part.data(), part.size());
         used += taken;
@@ -99,14 +105,59 @@
     return read_result::need_more;
 }
 
-// A line of a head, or all that there is of a body.
+bool http1_reader::in_chunk() const
+{
+    return headers_done_ && chunked_ && chunk_left_ > 0;
+}
+
+// A line of a head or between chunks, or what there is of a body or a chunk.
 std::string_view http1_reader::next_part(std::string_view bytes) const
 {
+    if (headers_done_ && !chunked_)
+        return bytes;
+    if (in_chunk())
+        return bytes.substr(0, chunk_left_);
     const auto line_end = bytes.find('\n');
-    const bool whole = headers_done_ || line_end == std::string_view::npos;
+    const bool whole = line_end == std::string_view::npos;
     return whole ? bytes : bytes.substr(0, line_end + 1);
 }
 
+// Bytes outside of bodies, before they are parsed.
+read_result http1_reader::check_lines(std::string_view part)
+{
+    if (in_chunk() || (headers_done_ && !chunked_))
+        return read_result::need_more;
+    line_bytes_ += part.size();
+    if (headers_done_) {
+        if (has_lone_cr(part) || breaks_chunk_lines(part))
+            return read_result::malformed;
+        return line_bytes_ > max_framing_bytes ? read_result::framing_too_large
+                                               : read_result::need_more;
+    }
+    if (has_lone_cr(part))
+        return read_result::malformed;
+    const auto limit = separator_factor * max_header_bytes_ + first_line_slack;
+    return line_bytes_ > limit ? read_result::headers_too_large
+                               : read_result::need_more;
+}
+
+// The parser takes any two bytes for the end of a chunk, and reads a line of
+// a chunk's size over an LF.
+bool http1_reader::breaks_chunk_lines(std::string_view part)
+{
+    constexpr std::string_view line_end = "\r\n";
+    const auto expected = line_end.substr(line_end.size() - line_end_left_)
+                              .substr(0, part.size());
+    if (!part.starts_with(expected))
+        return true;
+    line_end_left_ -= expected.size();
+    const bool ends = part.ends_with('\n');
+    const bool has_cr =
+        part.size() == 1 ? line_ended_with_cr_ : part.ends_with("\r\n");
+    line_ended_with_cr_ = part.ends_with('\r');
+    return ends && !has_cr;
+}
+
 // The parser ends a head at a CR whatever follows it.
 bool http1_reader::has_lone_cr(std::string_view part)
 {
@@ -139,6 +190,9 @@
     reader.in_value_ = true;
     reader.in_message_ = true;
     reader.headers_done_ = false;
+    reader.chunked_ = false;
+    reader.chunk_left_ = 0;
+    reader.line_end_left_ = 0;
     return 0;
 }
 
@@ -194,6 +248,10 @@
     head.status = static_cast<int>(parser->status_code);
     if (parser->type == HTTP_REQUEST)
         head.method = http_method_str(static_cast<http_method>(parser->method));
+    reader.chunked_ = (parser->flags & F_CHUNKED) != 0;
+    reader.line_bytes_ = 0;
+    reader.line_ended_with_cr_ = false;
+    head.is_1_0 = parser->http_major == 1 && parser->http_minor == 0;
     head.keep_alive = http_should_keep_alive(parser) != 0;
     head.ends_with_connection = lasts_until_close(*parser);
     const bool interim =
@@ -207,7 +265,20 @@
 int http1_reader::on_body(http_parser* parser, const char* at,
                           std::size_t length)
 {
-    self(parser).handlers_.on_body({at, length});
+    auto& reader = self(parser);
+    if (reader.chunked_) {
+        reader.chunk_left_ -= length;
+        reader.line_bytes_ = 0;
+        reader.line_end_left_ = reader.chunk_left_ == 0 ? 2 : 0;
+    }
+    reader.handlers_.on_body({at, length});
+    return 0;
+}
+
+// Its size was read; the last one has none.
+int http1_reader::on_chunk(http_parser* parser)
+{
+    self(parser).chunk_left_ = parser->content_length;
     return 0;
 }
 
@@ -217,6 +288,8 @@
     reader.in_message_ = false;
     reader.headers_done_ = false;
     reader.complete_ = true;
+    reader.chunked_ = false;
+    reader.line_bytes_ = 0;
     // Bytes behind a message are for the next call.
     http_parser_pause(parser, 1);
     reader.handlers_.on_complete();
--- a/src/io/target_link.cpp
+++ b/src/io/target_link.cpp
@@ -18,6 +18,11 @@
 /// A kept connection is given up this long before its target closes it, so
 /// that no request crosses that close.
 constexpr duration keep_alive_margin = 1500ms;
+/// Interim answers, and late ones to earlier calls, that may stand before the
+/// answer.
+constexpr std::size_t max_skipped_bytes = 8 * 1024 * 1024;
+/// What an interim answer counts for at least: it has no body.
+constexpr std::size_t least_skipped_bytes = 64 * 1024;
 
 target_link& link_of(void* self)
 {
@@ -86,6 +91,7 @@
     busy_ = true;
     skipping_ = false;
     answered_ = false;
+    skipped_bytes_ = 0;
     handlers_ = std::move(handlers);
     id_ = std::move(request.id);
     reader_.expect_no_body(request.head_only);
@@ -171,9 +177,15 @@
             return;
         evbuffer_drain(input, used);
         heard_ = loop_.now();
-        if (result == read_result::malformed ||
-            result == read_result::headers_too_large) {
-            fail("the answer is not HTTP/1.1");
+        if (result == read_result::malformed) {
+            fail("the answer is not HTTP/1.1", answer_fault::malformed);
+            return;
+        }
+        const bool too_long = result == read_result::headers_too_large ||
+                              result == read_result::framing_too_large ||
+                              skips_too_much(used);
+        if (too_long) {
+            fail("no answer comes to an end", answer_fault::too_long);
             return;
         }
         if (answered_) {
@@ -186,6 +198,13 @@
     }
 }
 
+bool target_link::skips_too_much(std::size_t used)
+{
+    if (skipping_)
+        skipped_bytes_ += used;
+    return skipped_bytes_ > max_skipped_bytes;
+}
+
 void target_link::take_head(message_head&& head)
 {
     const auto id = find_header(head.headers, settings_.id_header);
@@ -194,7 +213,11 @@
         skipping_ = true;
         keep_ = false;
     }
-    if (skipping_ || !call_)
+    if (skipping_) {
+        skipped_bytes_ += least_skipped_bytes;
+        return;
+    }
+    if (!call_)
         return;
     // The rest of a body that is answered early would be read as the next
     // request.
@@ -267,7 +290,7 @@
     handlers.on_done();
 }
 
-void target_link::fail(std::string reason)
+void target_link::fail(std::string reason, answer_fault fault)
 {
     auto handlers = std::exchange(handlers_, {});
     const bool was_busy = std::exchange(busy_, false);
@@ -276,7 +299,7 @@
     call_ = nullptr;
     end();
     if (was_busy && handlers.on_failure)
-        handlers.on_failure({connected_, std::move(reason)});
+        handlers.on_failure({connected_, std::move(reason), fault});
 }
 
 void target_link::end()
--- a/test/fuzz/http_message.cpp
+++ b/test/fuzz/http_message.cpp
@@ -23,8 +23,8 @@
         const auto result = reader.read(part, used);
         fuzz::require(used <= part.size());
         const bool stuck = result == read_result::complete && used == 0;
-        if (stuck || result == read_result::malformed ||
-            result == read_result::headers_too_large)
+        if (stuck || (result != read_result::complete &&
+                      result != read_result::need_more))
             return;
         bytes.remove_prefix(used);
     }
