Keep what targets ask for: to leave, to pause; and end answers without end

Cause: nothing read `Server-Leaving` or the `Retry-After` of a target's 503. Of a target's answer that could not be delivered the body was read and held without a bound; a failure that was cut short was kept and passed on as if whole. Change: condition_recorder takes what the head of any answer says, also of probes, failures, streams and attempts that are given up on, and never from another target at the same address. departure_relay tells peers what rows do not say. An answer that its head rules out ends there. A paused stream asks its caller again every 10 ms, not every 100 us. The soak plays targets that leave by their answers only, and pauses.

--- a/apps/router/languages/platform_language.hpp
+++ b/apps/router/languages/platform_language.hpp
@@ -32,7 +32,8 @@
 struct target_condition
 {
     std::optional<duration> cold_left; ///< zero: it is not cold
-    std::optional<bool> draining;
+    std::optional<bool> draining;      ///< may be taken back
+    bool leaving = false;              ///< for good, until it starts again
 };
 
 /// A row that is left out, and why.
--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -59,6 +59,10 @@
               [this](const io::address& from, std::string_view bytes) {
                   take_datagram(from, bytes);
               }),
+      departures_(loop, known, metrics, log, random_engine(random_()),
+                  [this](const json& message) {
+                      send_to_peers(write_message(message));
+                  }),
       join_timer_(loop, [this] { join(); }),
       beat_timer_(loop, [this] { beat(); }),
       ask_timer_(loop, [this] { ask_if_behind(); }), seeds_(std::move(seeds)),
@@ -241,6 +245,10 @@
         take_heartbeat(from, message);
         return;
     }
+    if (message.contains("leaving")) {
+        departures_.take(message);
+        return;
+    }
     state_.merge(parse_table_name(message.at("table")),
                  parse_state_difference(message.at("change")), from.ip);
 }
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -1,6 +1,7 @@
 #ifndef VANILLAPOST_APPS_ROUTER_PEERS_PEER_CONTROLLER_HPP
 #define VANILLAPOST_APPS_ROUTER_PEERS_PEER_CONTROLLER_HPP
 
+#include "peers/departure_relay.hpp"
 #include "reporting/router_log.hpp"
 #include "state/knowledge.hpp"
 #include "state/state_controller.hpp"
@@ -36,6 +37,12 @@
     /// Passes changes on that were read from the store here.
     void pass_on(shared_table which, const state_difference& difference);
 
+    /// A target told this instance that it leaves.
+    void on_target_leaving(const target_id& id, std::int64_t born)
+    {
+        departures_.on_told(id, born);
+    }
+
 private:
     void join();
     void beat();
@@ -63,6 +70,7 @@
     router_log& log_;
     random_engine random_;
     io::datagram_socket socket_;
+    departure_relay departures_;
     io::timer join_timer_;
     io::timer beat_timer_;
     io::timer ask_timer_;
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -58,6 +58,13 @@
       probes_(
           make_counters(registry_, "vanillapost_probes_total",
                         "Probes of targets, by whether they were answered")),
+      departures_(make_counters(registry_,
+                                "vanillapost_target_departures_total",
+                                "Targets that said they leave, by who told")),
+      pauses_(make_counters(registry_, "vanillapost_target_pauses_total",
+                            "Pauses that targets asked for")),
+      bad_answers_(make_counters(registry_, "vanillapost_bad_answers_total",
+                                 "What targets sent and is no answer")),
       unrouted_(make_counters(registry_, "vanillapost_unrouted_requests_total",
                               "Requests for which no route is known")
                     .Add({})),
@@ -121,6 +128,23 @@
     probes_.Add({{"answered", answered ? "yes" : "no"}}).Increment();
 }
 
+void router_metrics::count_departure(std::string_view told_by)
+{
+    departures_.Add({{"told_by", std::string(told_by)}}).Increment();
+}
+
+void router_metrics::count_pause(std::string_view result)
+{
+    pauses_.Add({{"result", std::string(result)}}).Increment();
+}
+
+void router_metrics::count_bad_answer(io::answer_fault fault)
+{
+    const auto* kind =
+        fault == io::answer_fault::malformed ? "malformed" : "too_long";
+    bad_answers_.Add({{"kind", kind}}).Increment();
+}
+
 void router_metrics::count_unrouted()
 {
     unrouted_.Increment();
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_REPORTING_ROUTER_METRICS_HPP
 
 #include "vanillapost/base.hpp"
+#include "vanillapost/src/io/target_pool.hpp"
 
 #include <map>
 #include <prometheus/counter.h>
@@ -34,6 +35,14 @@
     /// \param kind  "first", "repeat" or "hedge"
     void count_attempt(const service_id& service, std::string_view kind);
     void count_probe(bool answered);
+    /// A target was found to leave.
+    /// \param told_by  "target" or "peer"
+    void count_departure(std::string_view told_by);
+    /// A target asked for a pause.
+    /// \param result  "kept" or "not_kept"
+    void count_pause(std::string_view result);
+    /// A target sent what is no answer.
+    void count_bad_answer(io::answer_fault fault);
     void count_unrouted();
     /// A callback of the event loop that has thrown.
     void count_callback_failure();
@@ -69,6 +78,9 @@
     prometheus::Family<prometheus::Histogram>& seconds_;
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& probes_;
+    prometheus::Family<prometheus::Counter>& departures_;
+    prometheus::Family<prometheus::Counter>& pauses_;
+    prometheus::Family<prometheus::Counter>& bad_answers_;
     prometheus::Counter& unrouted_;
     prometheus::Counter& callback_failures_;
     prometheus::Family<prometheus::Counter>& unreadable_rows_;
--- a/apps/router/requests/request_answers.cpp
+++ b/apps/router/requests/request_answers.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
-constexpr duration longest_retry_after = 1s;
 /// Part of a log line that tells of the attempts, in bytes.
 constexpr std::size_t longest_history = 1200;
 
@@ -48,7 +45,7 @@
 }
 
 void request_task::give_up(int failure_status, std::string_view reason,
-                           duration retry_after, int refusal_status)
+                           const return_estimate& back, int refusal_status)
 {
     abandon_attempts();
     if (exchange_->has_begun()) {
@@ -63,23 +60,19 @@
         return;
     }
     if (std::holds_alternative<step_refuse>(ledger_.give_up()))
-        refuse(refusal_status, reason, retry_after);
+        refuse(refusal_status, reason, back);
     else
         fail(failure_status, reason);
 }
 
-// Spread at random, so that callers do not come back together.
 void request_task::refuse(int status, std::string_view reason,
-                          duration retry_after)
+                          const return_estimate& back)
 {
-    retry_after =
-        std::clamp(retry_after, shortest_retry_after, longest_retry_after);
-    retry_after = scaled(retry_after, 0.5 + draw_share(context_.random));
     problem value;
     value.status = status;
     value.detail = reason;
     value.step = "placement";
-    value.retry_after = retry_after;
+    value.retry_after = spread_return(back, draw_share(context_.random));
     reply_problem(*exchange_, value, id_, context_.language);
     finish(request_result::refused, status, reason);
 }
@@ -100,9 +93,8 @@
     constexpr std::string_view reason = "a step of the router failed";
     if (state_ == stage::ended)
         return;
-    const bool answered = context_.loop.guard("give up request", id_, [&] {
-        give_up(status_bad_gateway, reason, shortest_retry_after);
-    });
+    const bool answered = context_.loop.guard(
+        "give up request", id_, [&] { give_up(status_bad_gateway, reason); });
     if (answered || state_ == stage::ended)
         return;
     // The connection's end is the last thing that can tell the caller.
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -14,6 +14,8 @@
 /// Larger answers are passed on while they arrive; smaller ones are held
 /// until they are complete, so that a broken one can be asked for again.
 constexpr std::size_t largest_held_answer = 1024 * 1024;
+/// Body of an answer that says all in its head.
+constexpr std::size_t largest_refusal = 64 * 1024;
 /// A request that may run once goes out on a kept connection only if that
 /// was alive so lately.
 constexpr duration max_silence_once = 500ms;
@@ -26,11 +28,6 @@
 /// counts as a failure of its target.
 constexpr double overdue_factor = 2.5;
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 void request_task::send(const place_on& place, bool hedge)
@@ -39,11 +36,12 @@
     const auto* record = context_.known.targets.find(place.target);
     auto* about = context_.known.placer.find(place.target);
     if (!record || !about) {
-        wait_for_slot(shortest_retry_after);
+        wait_for_slot({});
         return;
     }
     auto made = std::make_unique<attempt>();
     made->target = place.target;
+    made->born = record->born_ms;
     made->sent_at = now;
     made->expected = place.expected;
     made->slowness = about->slowness(now);
@@ -102,8 +100,17 @@
 void request_task::take_head(attempt& from, io::target_answer_head&& head)
 {
     from.head = std::move(head);
+    // At once: a streamed answer ends much later, and one that is given up on
+    // never does.
+    context_.conditions.record(from.target, from.born, from.head);
+    const auto outcome = judge_answer(from.head, context_.language.headers);
+    // Its body would be of no use, and may have no end.
+    if (std::holds_alternative<attempt_lost>(outcome)) {
+        proceed(from, outcome);
+        return;
+    }
     if (from.head.length.value_or(0) > largest_held_answer)
-        begin_streaming(from);
+        take_long_answer(from, outcome);
 }
 
 void request_task::take_data(attempt& from, std::string_view data)
@@ -112,25 +119,41 @@
         exchange_->write(data);
         if (exchange_->pending_bytes() > largest_pending_stream) {
             from.call->pause();
-            retry_place_at_ = context_.loop.now() + waiting_poll;
+            resume_at_ = context_.loop.now() + waiting_poll;
             arm_timer();
         }
         return;
     }
     from.body.append(data);
-    if (from.body.size() > largest_held_answer)
+    if (from.body.size() <= largest_refusal)
+        return;
+    const auto outcome = judge_answer(from.head, context_.language.headers);
+    const bool says_all_in_head =
+        !std::holds_alternative<attempt_answered>(outcome);
+    if (says_all_in_head || from.body.size() > largest_held_answer)
+        take_long_answer(from, outcome);
+}
+
+// One that would be delivered is passed on while it comes; of others no more
+// is read.
+void request_task::take_long_answer(attempt& from,
+                                    const attempt_outcome& outcome)
+{
+    const auto* answer = std::get_if<attempt_answered>(&outcome);
+    if (answer && answer->status < first_server_error) {
         begin_streaming(from);
+        return;
+    }
+    constexpr std::string_view reason = "a failure that is too long";
+    note_bad_answer(from, io::answer_fault::too_long, reason);
+    if (answer)
+        proceed(from, attempt_lost{std::string(reason)});
+    else
+        proceed(from, outcome);
 }
 
-// Only an answer that would be delivered whole; others stay held.
 void request_task::begin_streaming(attempt& from)
 {
-    const auto outcome = judge_answer(from.head, context_.language.headers);
-    const bool deliverable =
-        std::holds_alternative<attempt_answered>(outcome) &&
-        is_success(from.head.status);
-    if (!deliverable)
-        return;
     from.streaming = true;
     exchange_->begin(from.head.status, from.head.headers, from.head.length);
     exchange_->write(from.body);
@@ -159,12 +182,25 @@
 void request_task::take_failure(attempt& from,
                                 const io::target_failure& failure)
 {
+    note_bad_answer(from, failure.fault, failure.reason);
     if (!failure.sent)
         proceed(from, attempt_not_sent{failure.reason});
     else
         proceed(from, attempt_lost{failure.reason});
 }
 
+void request_task::note_bad_answer(const attempt& from, io::answer_fault fault,
+                                   std::string_view reason)
+{
+    if (fault == io::answer_fault::none)
+        return;
+    context_.metrics.count_bad_answer(fault);
+    context_.log.request(io::log_level::warning, "target_answer_bad",
+                         {{"request_id", id_},
+                          {"target", from.target.value},
+                          {"reason", std::string(reason)}});
+}
+
 std::unique_ptr<request_task::attempt>
 request_task::take_attempt(attempt& ended)
 {
@@ -198,31 +234,27 @@
         deliver(*taken);
         return;
     }
-    follow(step, std::move(taken), vanillapost::describe(outcome));
+    follow(step, std::move(taken), outcome);
 }
 
 void request_task::follow(const attempt_step& step,
                           std::unique_ptr<attempt> ended,
-                          const std::string& outcome)
+                          const attempt_outcome& outcome)
 {
     if (std::holds_alternative<step_deliver>(step)) {
         deliver(*ended);
         return;
     }
     tried_.push_back(ended->target);
-    const auto& names = context_.language.headers;
-    const bool answered =
-        ended->head.status >= first_server_error &&
-        io::find_header(ended->head.headers, names.seal) &&
-        !io::find_header(ended->head.headers, names.not_executed);
-    if (answered)
+    // Only a whole one: what is cut short would look complete.
+    if (std::holds_alternative<attempt_answered>(outcome))
         fallback_ = std::move(ended);
     if (std::holds_alternative<step_wait>(step))
         return;
     if (std::holds_alternative<step_repeat>(step))
         repeat();
     else
-        give_up(status_bad_gateway, outcome, shortest_retry_after);
+        give_up(status_bad_gateway, vanillapost::describe(outcome));
 }
 
 void request_task::repeat()
@@ -240,7 +272,6 @@
     if (!about)
         return;
     const auto now = context_.loop.now();
-    note_condition(from.head, context_.language, *about, now);
     if (const auto report = read_report(from.head, context_.language))
         about->on_report(*report, false, now);
 }
--- a/apps/router/requests/request_context.hpp
+++ b/apps/router/requests/request_context.hpp
@@ -8,6 +8,7 @@
 #include "requests/route_statistics.hpp"
 #include "requests/service_budgets.hpp"
 #include "state/knowledge.hpp"
+#include "targets/condition_recorder.hpp"
 #include "targets/prober.hpp"
 #include "targets/target_connections.hpp"
 
@@ -24,6 +25,7 @@
     router_metrics& metrics;
     router_log& log;
     target_connections& connections;
+    condition_recorder& conditions;
     prober& probes;
     service_budgets& budgets;
     route_statistics& statistics;
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -16,6 +16,7 @@
                    const platform_language& language,
                    const router_settings& settings, router_metrics& metrics,
                    router_log& log, std::function<bool()> knows_newest,
+                   condition_recorder::departure_handler on_departure,
                    random_engine random);
 
     /// Requests with a booking key are claimed there from now on.
@@ -52,6 +53,7 @@
     std::function<bool()> knows_newest_;
     random_engine random_;
     target_connections connections_;
+    condition_recorder conditions_;
     prober probes_;
     service_budgets budgets_;
     route_statistics statistics_;
--- a/apps/router/requests/request_limits.hpp
+++ b/apps/router/requests/request_limits.hpp
@@ -14,7 +14,6 @@
 inline constexpr duration waiting_poll = std::chrono::milliseconds(10);
 /// Bytes of a streamed answer that its caller may be behind.
 inline constexpr std::size_t largest_pending_stream = 256 * 1024;
-inline constexpr duration shortest_retry_after = std::chrono::milliseconds(150);
 
 inline constexpr int first_server_error = 500;
 /// Deadline of a caller that names none, on a route without a time-out.
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -106,8 +106,7 @@
     const auto now = context_.loop.now();
     const auto work = context_.statistics.expected_work(rule_);
     if (!hedging_ && deadline_ - now < scaled(work, least_work_share)) {
-        give_up(status_gateway_timeout, "too little time is left",
-                shortest_retry_after);
+        give_up(status_gateway_timeout, "too little time is left");
         return;
     }
     follow(context_.known.placer.choose(describe(), effort(now), now));
@@ -131,18 +130,28 @@
         state_ = stage::running;
         return;
     }
-    const auto* full = std::get_if<no_room>(&decision);
-    wait_for_slot(full ? full->until_room : shortest_retry_after);
+    if (const auto* full = std::get_if<no_room>(&decision)) {
+        wait_for_slot({full->until_room});
+        return;
+    }
+    const auto& pause = std::get<no_target>(decision).until_usable;
+    wait_for_slot(pause ? return_estimate{*pause, true} : return_estimate{});
 }
 
-void request_task::wait_for_slot(duration until_room)
+void request_task::wait_for_slot(const return_estimate& room)
 {
     const auto now = context_.loop.now();
-    const bool hopeless = context_.known.placer.usable_targets(service_) == 0;
-    if (hopeless || now >= arrived_ + waiting_limit()) {
-        give_up(status_bad_gateway,
-                hopeless ? "no target can be used" : "all targets are full",
-                until_room);
+    const auto waits_until = arrived_ + waiting_limit();
+    if (context_.known.placer.usable_targets(service_) == 0) {
+        give_up(status_bad_gateway, "no target can be used", room);
+        return;
+    }
+    if (room.is_earliest && now + room.wait > waits_until) {
+        give_up(status_bad_gateway, "all targets have asked for a pause", room);
+        return;
+    }
+    if (now >= waits_until) {
+        give_up(status_bad_gateway, "all targets are full", room);
         return;
     }
     const auto* service = context_.known.routes().service(service_);
@@ -150,7 +159,7 @@
                             service->max_waiting > 0 &&
                             context_.waiting(service_) >= service->max_waiting;
     if (queue_full) {
-        give_up(status_bad_gateway, "too many requests wait", until_room,
+        give_up(status_bad_gateway, "too many requests wait", room,
                 status_too_many_requests);
         return;
     }
@@ -262,14 +271,11 @@
 {
     const auto now = context_.loop.now();
     if (now >= deadline_) {
-        give_up(status_gateway_timeout, "no answer in time",
-                shortest_retry_after);
+        give_up(status_gateway_timeout, "no answer in time");
         return;
     }
-    for (auto& each : attempts_)
-        if (each->streaming &&
-            exchange_->pending_bytes() <= largest_pending_stream)
-            each->call->resume();
+    if (now >= resume_at_)
+        resume_streams();
     if (state_ == stage::measuring && now >= measure_until_)
         place();
     else if (state_ == stage::waiting && now >= retry_place_at_)
@@ -280,14 +286,26 @@
         arm_timer();
 }
 
+// Looks again later while the caller has not read what is there.
+void request_task::resume_streams()
+{
+    if (exchange_->pending_bytes() > largest_pending_stream) {
+        resume_at_ = context_.loop.now() + waiting_poll;
+        return;
+    }
+    resume_at_ = time_point::max();
+    for (auto& each : attempts_)
+        if (each->streaming)
+            each->call->resume();
+}
+
 void request_task::arm_timer()
 {
     auto next = deadline_;
-    const bool streaming = std::ranges::any_of(
-        attempts_, [](const auto& each) { return each->streaming; });
+    next = std::min(next, resume_at_);
     if (state_ == stage::measuring)
         next = std::min(next, measure_until_);
-    else if (state_ == stage::waiting || streaming)
+    else if (state_ == stage::waiting)
         next = std::min(next, retry_place_at_);
     else if (state_ == stage::running)
         next = std::min(next, watch_at_);
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -64,6 +64,7 @@
     struct attempt
     {
         target_id target;
+        std::int64_t born = 0; ///< of the target's start
         std::unique_ptr<io::target_call> call;
         time_point sent_at{};
         duration expected{};   ///< with the target's load and pace
@@ -91,27 +92,33 @@
     duration watch_interval() const;
     placement_request describe() const;
     void measure(const std::vector<target_id>& targets);
-    void wait_for_slot(duration until_room);
+    void wait_for_slot(const return_estimate& room);
     void send(const place_on& place, bool hedge);
     io::target_call_handlers make_handlers(attempt& made);
     void take_head(attempt& from, io::target_answer_head&& head);
     void take_data(attempt& from, std::string_view data);
+    void take_long_answer(attempt& from, const attempt_outcome& outcome);
     void begin_streaming(attempt& from);
+    void resume_streams();
     void take_end(attempt& from);
+    void note_bad_answer(const attempt& from, io::answer_fault fault,
+                         std::string_view reason);
     void take_failure(attempt& from, const io::target_failure& failure);
     void note_ended(const attempt& ended, const attempt_outcome& outcome);
     void note_report(const attempt& from);
     void proceed(attempt& ended, const attempt_outcome& outcome);
     void follow(const attempt_step& step, std::unique_ptr<attempt> ended,
-                const std::string& outcome);
+                const attempt_outcome& outcome);
     void repeat();
     void deliver(attempt& from);
     void abandon_attempts();
     /// \param failure_status  when it may have run
     /// \param refusal_status  when it has not
     void give_up(int failure_status, std::string_view reason,
-                 duration retry_after, int refusal_status = status_unavailable);
-    void refuse(int status, std::string_view reason, duration retry_after);
+                 const return_estimate& back = {},
+                 int refusal_status = status_unavailable);
+    void refuse(int status, std::string_view reason,
+                const return_estimate& back);
     void note_answer(const attempt& from, const io::header_list& headers);
     void fail(int status, std::string_view reason);
     void finish(request_result result, int status, std::string_view reason);
@@ -137,7 +144,8 @@
     time_point objective_{}; ///< when an answer is still in time
     time_point measure_until_{};
     time_point retry_place_at_ = time_point::max();
-    time_point watch_at_ = time_point::max(); ///< next look at the attempt
+    time_point resume_at_ = time_point::max(); ///< of a stream that is paused
+    time_point watch_at_ = time_point::max();  ///< next look at the attempt
     int checks_ = 0;
     int probe_rounds_ = 0;
     bool hedging_ = false; ///< what is being placed is a hedge
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -53,7 +53,11 @@
              metrics_, log_, random_engine(random_())),
       engine_(
           loop, known_, language_, settings, metrics_, log_,
-          [this] { return state_.knows_newest(); }, random_engine(random_())),
+          [this] { return state_.knows_newest(); },
+          [this](const target_id& id, std::int64_t born) {
+              peers_.on_target_leaving(id, born);
+          },
+          random_engine(random_())),
       directory_(loop, known_, state_, language_, metrics_.registry(),
                  settings.answer_lifetime, random_engine(random_())),
       callers_(loop, server_limits({}),
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -349,8 +349,8 @@
 void state_controller::report(std::string_view event, const std::string& key,
                               std::string_view reason)
 {
-    log_.state(io::log_level::warning, event,
-               {{"key", key}, {"reason", std::string(reason)}});
+    log_.request(io::log_level::warning, event,
+                 {{"key", key}, {"reason", std::string(reason)}});
 }
 
 } // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/targets/condition_recorder.cpp
@@ -0,0 +1,84 @@
+#include "targets/condition_recorder.hpp"
+
+#include "requests/problem.hpp"
+#include "targets/target_message.hpp"
+
+namespace vanillapost::router {
+
+condition_recorder::condition_recorder(io::event_loop& loop, knowledge& known,
+                                       const platform_language& language,
+                                       router_metrics& metrics, router_log& log,
+                                       departure_handler on_departure)
+    : loop_(loop), known_(known), language_(language), metrics_(metrics),
+      log_(log), on_departure_(std::move(on_departure))
+{
+}
+
+void condition_recorder::record(const target_id& target, std::int64_t born,
+                                const io::target_answer_head& head)
+{
+    if (!is_from(target, head))
+        return;
+    const auto now = loop_.now();
+    const auto condition = language_.read_condition(head.headers);
+    if (condition.leaving)
+        record_departure(target, born);
+    auto* about = known_.placer.find(target);
+    if (!about)
+        return;
+    if (condition.cold_left)
+        about->on_cold(*condition.cold_left, now);
+    if (condition.draining)
+        about->on_draining(*condition.draining);
+    const auto pause = io::find_header(head.headers, "Retry-After");
+    if (pause && head.status == status_unavailable)
+        record_pause(target, *pause);
+}
+
+// Its address may have gone to another target, which speaks for itself only.
+bool condition_recorder::is_from(const target_id& target,
+                                 const io::target_answer_head& head) const
+{
+    const auto instance =
+        io::find_header(head.headers, language_.headers.instance_id);
+    const bool is_other = instance && *instance != target.value;
+    const bool misdirected = std::holds_alternative<attempt_misdirected>(
+        judge_answer(head, language_.headers));
+    return !is_other && !misdirected;
+}
+
+void condition_recorder::record_departure(const target_id& target,
+                                          std::int64_t born)
+{
+    if (!known_.targets.on_told_leaving(target, born))
+        return;
+    known_.placer.refresh(target, known_.targets, loop_.now());
+    metrics_.count_departure("target");
+    log_.request(io::log_level::info, "target_leaves",
+                 {{"target", target.value}, {"told_by", "itself"}});
+    const auto* record = known_.targets.find(target);
+    if (record && !record->draining)
+        on_departure_(target, born);
+}
+
+void condition_recorder::record_pause(const target_id& target,
+                                      std::string_view header)
+{
+    const auto asked = parse_pause(header);
+    if (const auto* refused = std::get_if<pause_refusal>(&asked)) {
+        metrics_.count_pause("not_kept");
+        log_.request(io::log_level::warning, "target_pause_not_kept",
+                     {{"target", target.value},
+                      {"asked", shortened(header)},
+                      {"reason", std::string(to_string(*refused))}});
+        return;
+    }
+    const auto length = std::get<duration>(asked);
+    known_.placer.find(target)->on_pause(length, loop_.now());
+    metrics_.count_pause("kept");
+    log_.request(
+        io::log_level::info, "target_pauses",
+        {{"target", target.value}, {"for_ms", std::to_string(to_ms(length))}});
+}
+
+} // namespace vanillapost::router
--- /dev/null
+++ b/apps/router/targets/condition_recorder.hpp
@@ -0,0 +1,49 @@
+#ifndef VANILLAPOST_APPS_ROUTER_TARGETS_CONDITION_RECORDER_HPP
+#define VANILLAPOST_APPS_ROUTER_TARGETS_CONDITION_RECORDER_HPP
+
+#include "languages/platform_language.hpp"
+#include "reporting/router_log.hpp"
+#include "reporting/router_metrics.hpp"
+#include "state/knowledge.hpp"
+#include "vanillapost/src/io/target_pool.hpp"
+
+#include <functional>
+
+namespace vanillapost::router {
+
+/// Takes over what targets say of themselves in the heads of their answers:
+/// that they are cold, leave, or want a pause.
+class condition_recorder
+{
+public:
+    using departure_handler =
+        std::function<void(const target_id&, std::int64_t born)>;
+
+    /// \param on_departure  a target told this instance first that it leaves
+    condition_recorder(io::event_loop& loop, knowledge& known,
+                       const platform_language& language,
+                       router_metrics& metrics, router_log& log,
+                       departure_handler on_departure);
+
+    /// \param target  that was asked
+    /// \param born    of its start when it was asked
+    void record(const target_id& target, std::int64_t born,
+                const io::target_answer_head& head);
+
+private:
+    bool is_from(const target_id& target,
+                 const io::target_answer_head& head) const;
+    void record_departure(const target_id& target, std::int64_t born);
+    void record_pause(const target_id& target, std::string_view header);
+
+    io::event_loop& loop_;
+    knowledge& known_;
+    const platform_language& language_;
+    router_metrics& metrics_;
+    router_log& log_;
+    departure_handler on_departure_;
+};
+
+} // namespace vanillapost::router
+
+#endif
--- a/apps/router/targets/prober.cpp
+++ b/apps/router/targets/prober.cpp
@@ -18,11 +18,11 @@
 
 prober::prober(io::event_loop& loop, knowledge& known,
                const platform_language& language,
-               target_connections& connections, router_metrics& metrics,
-               router_log& log, done_handler done)
+               target_connections& connections, condition_recorder& conditions,
+               router_metrics& metrics, router_log& log, done_handler done)
     : loop_(loop), known_(known), language_(language),
-      connections_(connections), metrics_(metrics), log_(log),
-      done_(std::move(done))
+      connections_(connections), conditions_(conditions), metrics_(metrics),
+      log_(log), done_(std::move(done))
 {
 }
 
@@ -35,21 +35,32 @@
     }
     auto& made = probes_[target];
     made.waiters.insert(waiter);
-    made.limit = std::make_unique<io::timer>(
-        loop_, [this, target] { fail(target, "no answer in time"); });
     const auto* record = known_.targets.find(target);
-    if (!record) {
+    if (!record || !may_probe(*record)) {
+        made.limit =
+            std::make_unique<io::timer>(loop_, [this, target] { end(target); });
         made.limit->start_once(duration::zero());
         return;
     }
+    made.limit = std::make_unique<io::timer>(
+        loop_, [this, target] { fail(target, "no answer in time"); });
     made.limit->start_once(probe_timeout);
     if (auto* about = known_.placer.find(target))
         about->on_probe_sent(loop_.now());
     start(*record, made);
 }
 
+bool prober::may_probe(const listed_target& target) const
+{
+    const auto* about = known_.placer.find(target.id);
+    const auto now = loop_.now();
+    return about && !about->is_paused(now) &&
+           known_.targets.is_usable(target, now);
+}
+
 void prober::start(const listed_target& target, probe& made)
 {
+    made.born = target.born_ms;
     const auto* service = known_.routes().service(target.service);
     const std::string path = service ? service->health_path : "/health";
     io::target_call_request request;
@@ -63,6 +74,8 @@
     handlers.on_data = [](std::string_view) {};
     handlers.on_done = [this, id] { take_answer(id); };
     handlers.on_failure = [this, id](const io::target_failure& failure) {
+        if (failure.fault != io::answer_fault::none)
+            metrics_.count_bad_answer(failure.fault);
         fail(id, failure.reason);
     };
     try {
@@ -90,12 +103,12 @@
 bool prober::read_answer(const target_id& target, const probe& ended,
                          target_knowledge& about)
 {
+    conditions_.record(target, ended.born, ended.head);
     const auto instance =
         io::find_header(ended.head.headers, language_.headers.instance_id);
     const bool is_other = instance && *instance != target.value;
     if (ended.head.status != status_ok || is_other)
         return false;
-    note_condition(ended.head, language_, about, loop_.now());
     const auto report = read_report(ended.head, language_);
     about.on_report(report.value_or(load_report{}), true, loop_.now());
     return true;
--- a/apps/router/targets/prober.hpp
+++ b/apps/router/targets/prober.hpp
@@ -5,6 +5,7 @@
 #include "reporting/router_log.hpp"
 #include "reporting/router_metrics.hpp"
 #include "state/knowledge.hpp"
+#include "targets/condition_recorder.hpp"
 #include "targets/target_connections.hpp"
 
 #include <cstdint>
@@ -26,21 +27,25 @@
 
     prober(io::event_loop& loop, knowledge& known,
            const platform_language& language, target_connections& connections,
-           router_metrics& metrics, router_log& log, done_handler done);
+           condition_recorder& conditions, router_metrics& metrics,
+           router_log& log, done_handler done);
 
     /// Calls the handler with `waiter` when the probe has ended, never before
-    /// this returns.
+    /// this returns. A target that leaves or has asked for a pause is not
+    /// probed; then the handler is called without one.
     void measure(const target_id& target, std::uint64_t waiter);
 
 private:
     struct probe
     {
+        std::int64_t born = 0; ///< of the start that is asked
         std::unique_ptr<io::target_call> call;
         std::unique_ptr<io::timer> limit;
         std::set<std::uint64_t> waiters;
         io::target_answer_head head;
     };
 
+    bool may_probe(const listed_target& target) const;
     void start(const listed_target& target, probe& made);
     void take_answer(const target_id& target);
     bool read_answer(const target_id& target, const probe& ended,
@@ -52,6 +57,7 @@
     knowledge& known_;
     const platform_language& language_;
     target_connections& connections_;
+    condition_recorder& conditions_;
     router_metrics& metrics_;
     router_log& log_;
     done_handler done_;
--- a/apps/router/targets/target_message.cpp
+++ b/apps/router/targets/target_message.cpp
@@ -69,15 +69,4 @@
     return header ? language.read_load(*header) : std::nullopt;
 }
 
-void note_condition(const io::target_answer_head& head,
-                    const platform_language& language, target_knowledge& about,
-                    time_point now)
-{
-    const auto condition = language.read_condition(head.headers);
-    if (condition.cold_left)
-        about.on_cold(*condition.cold_left, now);
-    if (condition.draining)
-        about.on_draining(*condition.draining);
-}
-
 } // namespace vanillapost::router
--- a/apps/router/targets/target_message.hpp
+++ b/apps/router/targets/target_message.hpp
@@ -22,11 +22,6 @@
 std::optional<load_report> read_report(const io::target_answer_head& head,
                                        const platform_language& language);
 
-/// Notes what an answer says of the target's state.
-void note_condition(const io::target_answer_head& head,
-                    const platform_language& language, target_knowledge& about,
-                    time_point now);
-
 } // namespace vanillapost::router
 
 #endif
--- a/test/platform/target.py
+++ b/test/platform/target.py
@@ -59,7 +59,9 @@
     answers that are 500, lost after the run, or broken; `dark` is silence;
     `stall` ("length" or "chunks", its framing) stops in the middle of a body;
     `odd` is the share of nonsense in load headers and health answers. With
-    `refuses` it says when it is full, and without it is silent then.
+    `refuses` it says when it is full, and without it is silent then. With
+    `leaves` all its answers say so, and with `pause` it turns all requests
+    away and asks for that time (the text of the header).
     """
 
     def __init__(self, name, service, zone, store, truth, random, slots=2,
@@ -77,6 +79,9 @@
         self.dark = False
         self.stall = None
         self.refuses = False
+        self.leaves = False
+        self.pause = None
+        self.probes = 0
         self.draining = False
         self.cold_until = 0.0
         self.born = int(time.time() * 1000)
@@ -107,6 +112,7 @@
         """A new incarnation under the same id."""
         self.born = int(time.time() * 1000)
         self._sequence = 0
+        self._truth.wishes.forget(self.id)
 
     def reset_connections(self, share=1.0):
         self._server.reset_connections(share, self._random)
@@ -165,13 +171,38 @@
             if not work.result():
                 return
 
+    def _wishes(self, attempt_id):
+        """Headers for what it asks of the router that sent the request."""
+        if not self.leaves:
+            return []
+        if asked := self._truth.asked.get(attempt_id):
+            self._truth.wishes.note_leaves(asked.router, self.id,
+                                           time.monotonic())
+        return [("Server-Leaving", "1")]
+
+    def _turn_away(self, attempt_id, writer):
+        asked = self._truth.asked.get(attempt_id)
+        try:
+            pause_s = float(self.pause)
+        except ValueError:
+            pause_s = 0.0
+        if asked and 0 < pause_s < 3600:
+            self._truth.wishes.note_pause(asked.router, self.id,
+                                          time.monotonic(), pause_s)
+        writer.write(wire.format_message(
+            "HTTP/1.1 503 Busy",
+            [("X-Vanillapost-Not-Executed", "1"), (ID, attempt_id),
+             ("Retry-After", self.pause), *self._wishes(attempt_id)]))
+
     def _answer_health(self, writer):
+        self.probes += 1
         status = 503 if self.draining else 200
         left = max(self.cold_until - time.monotonic(), 0)
         if self._is_odd():
             writer.write(self._random.choice(ODD_HEALTH))
         name = "\x01\xff" if self._is_odd() else self.id
-        headers = [("X-Vanillapost-Instance-Id", name), self._load()]
+        headers = [("X-Vanillapost-Instance-Id", name), self._load(),
+                   *self._wishes(None)]
         if self._is_odd():
             headers.append(("X-Vanillapost-Warmup-Ms",
                             self._random.choice(ODD_WARMUPS)))
@@ -188,6 +219,11 @@
                 "HTTP/1.1 421 Misdirected",
                 [("X-Vanillapost-Instance-Id", self.id)]))
             return True
+        if asked := self._truth.asked.get(attempt_id):
+            self._truth.wishes.note_arrival(asked, self.id, arrived)
+        if self.pause is not None:
+            self._turn_away(attempt_id, writer)
+            return True
         if self._running + self._waiting >= self.slots + self.queue:
             if self.refuses:
                 writer.write(wire.format_message(
@@ -230,7 +266,8 @@
         else:
             body = answer_body(attempt_id, self.size)
             status = 200
-        headers = [(ID, attempt_id), (SEAL, seal_of(body)), self._load()]
+        headers = [(ID, attempt_id), (SEAL, seal_of(body)), self._load(),
+                   *self._wishes(attempt_id)]
         last = self.draining or self._is_odd()
         if last:
             headers.append(("Connection", "close"))
--- a/test/platform/target_faults.py
+++ b/test/platform/target_faults.py
@@ -8,7 +8,8 @@
 
 class TargetFaults(Faults):
     names = ("misbehave",) * 4 + ("reset", "kill", "start_again", "drain",
-                                  "add", "reuse_address", "cut")
+                                  "add", "reuse_address", "cut",
+                                  "leave_by_answers", "want_pause")
 
     def pick(self):
         """One that may fail: others of its service are left."""
@@ -61,6 +62,27 @@
         await target.leave()
         await self.fleet.add_target(target.service, target.zone)
 
+    async def leave_by_answers(self):
+        """Its row says nothing, and may be written again after it left."""
+        if not (target := self.pick()):
+            return
+        self.out.add(target.id)
+        target.leaves = True
+        await self.pause(1, 4)
+        if self.random.random() < 0.5:
+            await target.leave()
+            await target.list_itself()
+            await self.pause(1, 3)
+        await target.leave()
+        await self.fleet.add_target(target.service, target.zone)
+
+    async def want_pause(self):
+        if not (target := self.pick()):
+            return
+        target.pause = self.random.choice(("0.8", "2", "3.5", "-1", "soon"))
+        await self.pause(0.1, 0.6)
+        target.pause = None
+
     async def add(self):
         if len(self.fleet.targets) < MAX_TARGETS:
             target = await self.fleet.add_target(
--- a/test/platform/truth.py
+++ b/test/platform/truth.py
@@ -6,6 +6,7 @@
 
 from touch import APPLY_S, DRAIN_S, EVACUATE_S, EVER, Touch
 from versions import Handled, Versions
+from wishes import Wishes
 
 NOT_RUN = (408, 421, 429, 503)
 GONE_S = 0.5  # after a caller has left, nothing more reaches a target
@@ -36,6 +37,7 @@
         self.in_force = {}  # routes, and when they were acknowledged
         self.touch = Touch()
         self.versions = Versions(self.touch)
+        self.wishes = Wishes(self.touch, self.broken)
         self.leaving = {}  # targets, and when the store was told
         self.evacuations = []  # [data centre, acknowledged, taken back]
         self.runs = defaultdict(list)
@@ -106,6 +108,7 @@
         self.versions.check(handled, self.broken)
         self._check_added_routes()
         self._check_budget()
+        self.wishes.check()
 
     def _check_answer(self, asked, ran):
         if asked.status in NOT_RUN and ran and not asked.repeatable:
