Probe members in a large fleet, pass changes on by data centre, start from the store

Ruled out: the store, which answered in 4 ms throughout. Change: above 24 members each probes one other in 400 ms, two that found the same declare it dead (failure_detector, member_watch); views are compared by digest and mended by a question. Readers cut changes into datagrams (split) and send them to their data centre and two delegates of each other one (change_relay). A peer tells a long state to four in 400 ms; others read the store once and do not follow it. Ready means that targets are known, too. Bytes to peers are counted by kind and crossing.

--- a/apps/router/directory/directory.cpp
+++ b/apps/router/directory/directory.cpp
@@ -12,6 +12,11 @@
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
+/// Longer answers with state are told to few at a time: a link that is slow
+/// carries some ten of them a second.
+constexpr std::size_t longest_free_state = std::size_t{64} * 1024;
+constexpr std::size_t most_long_states = 4;
+constexpr duration long_state_window = std::chrono::milliseconds(400);
 constexpr std::string_view state_path = "/v2/state";
 constexpr std::string_view metrics_path = "/metrics";
 
@@ -87,7 +92,7 @@
     return std::nullopt;
 }
 
-directory_answer directory::tell_state(std::string_view query) const
+directory_answer directory::tell_state(std::string_view query)
 {
     const auto revision = [&](std::string_view name) {
         const auto text = io::query_value(query, name);
@@ -96,8 +101,23 @@
         return value;
     };
     const state_revisions known{revision("operators"), revision("targets")};
-    return {status_ok, cbor_type,
-            io::detail::write_message(state_.difference(known))};
+    auto bytes = io::detail::write_message(state_.difference(known));
+    if (bytes.size() > longest_free_state && !may_tell_long_state())
+        return text_answer(status_unavailable, "telling others");
+    return {status_ok, cbor_type, std::move(bytes)};
+}
+
+// More at a time would all come too late.
+bool directory::may_tell_long_state()
+{
+    const auto now = loop_.now();
+    std::erase_if(long_states_, [&](time_point told) {
+        return now - told > long_state_window;
+    });
+    if (long_states_.size() >= most_long_states)
+        return false;
+    long_states_.push_back(now);
+    return true;
 }
 
 directory_answer directory::tell_status() const
--- a/apps/router/directory/directory.hpp
+++ b/apps/router/directory/directory.hpp
@@ -53,7 +53,8 @@
 private:
     void handle(std::unique_ptr<io::server_exchange> exchange);
     directory_answer tell_addresses(std::string_view query);
-    directory_answer tell_state(std::string_view query) const;
+    directory_answer tell_state(std::string_view query);
+    bool may_tell_long_state();
     directory_answer tell_status() const;
 
     io::event_loop& loop_;
@@ -63,6 +64,7 @@
     const prometheus::Registry& metrics_;
     duration answer_lifetime_;
     random_engine random_;
+    std::vector<time_point> long_states_; ///< told lately
     bool ready_ = false;
     std::vector<std::unique_ptr<io::http_server>> servers_;
 };
--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -3,6 +3,7 @@
 #include "vanillapost/src/io/detail/cbor.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillapost::router {
 
@@ -23,28 +24,20 @@
 /// A change that is passed on may still be on its way when a heartbeat tells
 /// of it.
 constexpr duration relay_time = 40ms;
-constexpr duration question_timeout = 800ms;
-/// Larger changes are asked for over a connection.
-constexpr std::size_t max_relay_bytes = 1200;
-/// Longest answer to a question for state.
-constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
 constexpr duration member_list_interval = 10s;
 /// How often an instance that hears nobody looks for others in the store.
 constexpr duration member_read_interval = 5s;
-constexpr int status_ok = 200;
-
-std::string_view name_of(shared_table which)
-{
-    return which == shared_table::operators ? "operators" : "targets";
-}
-
-shared_table parse_table_name(const json& name)
-{
-    for (const auto which : {shared_table::operators, shared_table::targets})
-        if (name == name_of(which))
-            return which;
-    throw error("read change", "", "a table of another name");
-}
+/// Until a peer is asked again after one that did not tell its state.
+constexpr duration untold_delay = 200ms;
+/// A heartbeat that all have to hear may be lost.
+constexpr duration repeat_delay = 300ms;
+/// Peers that show another view of the members so often in a row are asked for
+/// theirs.
+constexpr int most_other_views = 4;
+constexpr duration view_question_interval = 3s;
+/// Seeds that are not among the live members are greeted again: they may lead
+/// to a part of the fleet that is not known.
+constexpr duration seed_interval = 10s;
 
 } // namespace
 
@@ -59,14 +52,28 @@
               [this](const io::address& from, std::string_view bytes) {
                   take_datagram(from, bytes);
               }),
-      departures_(loop, known, metrics, log, random_engine(random_()),
-                  [this](const json& message) {
-                      send_to_peers(write_message(message));
-                  }),
+      departures_(
+          loop, known, metrics, log, random_engine(random_()),
+          [this](const json& message) { send_to_peers("departure", message); }),
+      watch_(loop, known, metrics, log, random_engine(random_()),
+             {[this](const member& to) { send_probe_to(to); },
+              [this](const member& to, const json& message) {
+                  send("doubt", to, write_message(message));
+              },
+              [this](const json& message) { send_to_peers("death", message); },
+              [this] { send_heartbeat(); }}),
+      changes_(loop, known, state, random_engine(random_()),
+               [this](const member& to, std::string_view bytes) {
+                   send("change", to, bytes);
+               }),
+      question_(loop, state, metrics, log,
+                [this](question_end how) { note_answer(how); }),
       join_timer_(loop, [this] { join(); }),
       beat_timer_(loop, [this] { beat(); }),
-      ask_timer_(loop, [this] { ask_if_behind(); }), seeds_(std::move(seeds)),
-      peer_port_(where.port), reader_(loop.now()), started_(loop.now())
+      ask_timer_(loop, [this] { ask_if_behind(); }),
+      repeat_timer_(loop, [this] { send_heartbeat_once(); }),
+      seeds_(std::move(seeds)), peer_port_(where.port), reader_(loop.now()),
+      started_(loop.now())
 {
 }
 
@@ -76,6 +83,7 @@
         reader_.need_store(started_);
         state_.follow_store();
     }
+    watch_.start();
     join();
 }
 
@@ -129,6 +137,7 @@
     result.following = state_.is_following();
     result.store = state_.access();
     result.revisions = state_.revisions();
+    result.is_probed = known_.members.is_large();
     return result;
 }
 
@@ -147,9 +156,16 @@
     choose_source();
     // Noted while readers are heard: it lasts through an outage.
     state_.knows_newest();
-    send_heartbeat();
+    const bool is_large = known_.members.is_large();
+    if (std::exchange(was_large_, is_large) != is_large)
+        send_heartbeat();
+    else if (!is_large || state_.is_following())
+        send_heartbeat_once();
+    announce();
     if (known_.members.live_peers(now).empty())
         greet_seeds();
+    else if (now >= seeds_greeted_at_ + seed_interval)
+        greet_missing_seeds();
     ask_if_behind();
     keep_member_list();
 }
@@ -176,15 +192,49 @@
     }
 }
 
-void peer_controller::send_to_peers(std::string_view bytes)
+void peer_controller::send(std::string_view kind, const member& to,
+                           std::string_view bytes)
 {
+    const bool crosses = to.data_centre != known_.members.self().data_centre;
+    metrics_.count_peer_bytes(kind, crosses, bytes.size());
+    socket_.send(io::parse_address(to.peer_address), bytes);
+}
+
+void peer_controller::send_to_peers(std::string_view kind, const json& message)
+{
+    const auto bytes = write_message(message);
     for (const auto& peer : known_.members.peers())
-        socket_.send(io::parse_address(peer.peer_address), bytes);
+        send(kind, peer, bytes);
 }
 
+// What all have to know at once. In a large fleet no other heartbeat follows.
 void peer_controller::send_heartbeat()
 {
-    send_to_peers(write_message({{"heartbeat", to_json(make_heartbeat())}}));
+    send_heartbeat_once();
+    if (known_.members.is_large())
+        repeat_timer_.start_once(repeat_delay);
+}
+
+void peer_controller::send_heartbeat_once()
+{
+    send_to_peers("heartbeat", {{"heartbeat", to_json(make_heartbeat())}});
+}
+
+void peer_controller::send_probe_to(const member& to)
+{
+    auto heartbeat = make_heartbeat();
+    heartbeat.view = known_.members.view(loop_.now());
+    send("probe", to,
+         write_message({{"heartbeat", to_json(heartbeat)}, {"probe", true}}));
+}
+
+// To who probed this instance.
+void peer_controller::send_sign_of_life(const io::address& to, bool held_dead)
+{
+    auto heartbeat = make_heartbeat();
+    heartbeat.view = known_.members.view(loop_.now());
+    socket_.send(to, write_message({{"heartbeat", to_json(heartbeat)},
+                                    {"held_dead", held_dead}}));
 }
 
 void peer_controller::send_hello(const io::address& to, bool ask)
@@ -194,33 +244,56 @@
                                     {"ask", ask}}));
 }
 
-// Ports are the same on all instances.
+// Members that this instance was only told of do not know it yet.
+void peer_controller::announce()
+{
+    std::set<std::string> known;
+    for (const auto& peer : known_.members.peers()) {
+        auto process = peer.name.value + '\n' + peer.incarnation;
+        if (!announced_.contains(process))
+            send_hello(io::parse_address(peer.peer_address), false);
+        known.insert(std::move(process));
+    }
+    announced_ = std::move(known);
+}
+
 void peer_controller::greet_seeds()
 {
+    for (const auto& seed : seeds_)
+        greet(seed);
+}
+
+// Ports are the same on all instances.
+void peer_controller::greet(const std::string& seed)
+{
+    if (seed == known_.members.self().query_address)
+        return;
+    auto where = io::parse_address(seed);
+    where.port = peer_port_;
+    send_hello(where, true);
+}
+
+void peer_controller::greet_missing_seeds()
+{
+    const auto now = loop_.now();
+    seeds_greeted_at_ = now;
+    const auto live = known_.members.live_peers(now);
     for (const auto& seed : seeds_) {
-        auto where = io::parse_address(seed);
-        if (seed == known_.members.self().query_address)
-            continue;
-        where.port = peer_port_;
-        send_hello(where, true);
+        const bool is_live = std::ranges::any_of(live, [&](const auto& each) {
+            return each.who.query_address == seed;
+        });
+        if (!is_live)
+            greet(seed);
     }
 }
 
+// A whole table does not tell of rows that came and went before it, so peers
+// that lack something ask for what they lack.
 void peer_controller::pass_on(shared_table which,
                               const state_difference& difference)
 {
-    // A whole table does not tell of rows that came and went before it, so
-    // peers that lack something ask for what they lack.
-    if (difference.whole) {
-        send_heartbeat();
-        return;
-    }
-    const auto bytes = write_message(
-        {{"table", name_of(which)}, {"change", to_message(difference)}});
-    if (bytes.size() > max_relay_bytes)
-        send_heartbeat();
-    else
-        send_to_peers(bytes);
+    if (!changes_.pass_on(which, difference))
+        send_heartbeat_once();
 }
 
 void peer_controller::take_datagram(const io::address& from,
@@ -249,8 +322,11 @@
         departures_.take(message);
         return;
     }
-    state_.merge(parse_table_name(message.at("table")),
-                 parse_state_difference(message.at("change")), from.ip);
+    if (member_watch::is_for_it(message)) {
+        watch_.take(message);
+        return;
+    }
+    changes_.take(message, from.ip);
 }
 
 void peer_controller::take_hello(const io::address& from, const json& message)
@@ -266,78 +342,73 @@
 {
     const auto heartbeat = parse_member_heartbeat(message.at("heartbeat"));
     const auto now = loop_.now();
+    const bool held_dead = known_.members.is_dead(heartbeat.name);
     if (!known_.members.on_heartbeat(heartbeat, now)) {
         send_hello(from, true);
         return;
     }
+    watch_.on_heard(heartbeat.name);
+    if (message.value("probe", false))
+        send_sign_of_life(from, held_dead);
+    if (message.value("held_dead", false))
+        send_heartbeat();
     if (known_.members.advance(now))
         known_.refresh_members(now);
-    if (state_.revisions().is_behind(heartbeat.revisions) && !question_)
+    compare_view(heartbeat);
+    if (state_.revisions().is_behind(heartbeat.revisions) &&
+        !question_.is_open())
         ask_timer_.start_once(
             state_.revisions() == state_revisions{} ? duration(1) : relay_time);
 }
 
 void peer_controller::ask_if_behind()
 {
-    if (question_)
+    if (question_.is_open())
         return;
     std::vector<member> knowing;
     for (const auto& peer : known_.members.live_peers(loop_.now()))
         if (state_.revisions().is_behind(peer.heartbeat.revisions))
             knowing.push_back(peer.who);
     if (!knowing.empty())
-        ask(knowing[random_() % knowing.size()]);
+        question_.ask(knowing[random_() % knowing.size()]);
 }
 
-void peer_controller::ask(const member& peer)
+void peer_controller::note_answer(question_end how)
 {
-    const auto known = state_.revisions();
-    answer_.clear();
-    asked_peer_ = std::make_unique<io::http_client>(
-        loop_, io::parse_address(peer.query_address));
-    io::http_request request;
-    request.target = "/v2/state?operators=" + std::to_string(known.operators) +
-                     "&targets=" + std::to_string(known.targets);
-    io::call_handlers handlers;
-    handlers.on_headers = [this](int status,
-                                 std::span<const io::header_field>) {
-        answer_status_ = status;
-    };
-    handlers.on_data = [this](std::string_view data) {
-        if (answer_.size() <= max_answer_bytes)
-            answer_.append(data);
-    };
-    const auto name = peer.name.value;
-    handlers.on_done = [this, name] {
-        try {
-            if (answer_status_ != status_ok)
-                throw error("ask for state", name,
-                            "status " + std::to_string(answer_status_));
-            state_.merge(parse_message(answer_, max_answer_bytes), name);
-            metrics_.count_state_question("taken");
-        } catch (const std::exception& failure) {
-            metrics_.count_state_question("unreadable");
-            log_.request(io::log_level::warning, "peer_state_unreadable",
-                         {{"peer", name}, {"reason", failure.what()}});
-            // Such as a peer of another version: others may be like it.
-            reader_.need_store(loop_.now());
-        }
-        loop_.post([this] {
-            question_.reset();
-            choose_source();
-        });
-    };
-    handlers.on_failure = [this, name](const io::call_failure& failure) {
-        metrics_.count_state_question("unanswered");
-        log_.request(io::log_level::warning, "peer_did_not_tell_state",
-                     {{"peer", name}, {"reason", failure.what}});
-        loop_.post([this] {
-            question_.reset();
-            ask_timer_.start_once(relay_time);
-        });
-    };
-    question_ =
-        asked_peer_->start(request, std::move(handlers), question_timeout);
+    // Whoever starts together with many others gets no answer from a peer in
+    // time; the store can tell all of them.
+    const bool untold =
+        how == question_end::busy || how == question_end::unanswered;
+    if (untold && !state_.is_complete())
+        state_.read_once();
+    if (untold) {
+        ask_timer_.start_once(untold_delay);
+        return;
+    }
+    // Others may be like one of another version.
+    if (how == question_end::unreadable)
+        reader_.need_store(loop_.now());
+    choose_source();
+}
+
+// Views differ for a moment after each change of the members.
+void peer_controller::compare_view(const member_heartbeat& heartbeat)
+{
+    const auto now = loop_.now();
+    if (heartbeat.view == 0)
+        return;
+    if (heartbeat.view == known_.members.view(now)) {
+        other_views_ = 0;
+        return;
+    }
+    const bool due = ++other_views_ >= most_other_views &&
+                     now >= view_asked_at_ + view_question_interval;
+    const auto* peer = known_.members.find_probed(heartbeat.name);
+    if (!due || !peer || question_.is_open())
+        return;
+    view_asked_at_ = now;
+    other_views_ = 0;
+    question_.ask(*peer);
 }
 
 // One reader leaves the list: the first by name of those that follow.
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -1,19 +1,26 @@
 #ifndef VANILLAPOST_APPS_ROUTER_PEERS_PEER_CONTROLLER_HPP
 #define VANILLAPOST_APPS_ROUTER_PEERS_PEER_CONTROLLER_HPP
 
+#include "peers/change_relay.hpp"
 #include "peers/departure_relay.hpp"
+#include "peers/member_watch.hpp"
+#include "peers/state_question.hpp"
 #include "reporting/router_log.hpp"
 #include "state/knowledge.hpp"
 #include "state/state_controller.hpp"
 #include "vanillapost/src/io/datagram_socket.hpp"
 
-#include <functional>
+#include <set>
 
 namespace vanillapost::router {
 
 /// Tells peers that this instance lives and hears the same of them; passes
 /// changes of the store on, and asks peers for those that it missed.
 ///
+/// Up to some members everybody sends heartbeats to everybody. In a larger
+/// fleet only readers do, and others are probed (\ref member_watch); all still
+/// send one when something changes.
+///
 /// Heartbeats and changes are datagrams with CBOR. A lost heartbeat is
 /// replaced by the next, a lost change shows in the next heartbeat, and no
 /// connection can go silent.
@@ -47,17 +54,25 @@
     void join();
     void beat();
     void keep_in_touch();
+    void send(std::string_view kind, const member& to, std::string_view bytes);
+    void send_to_peers(std::string_view kind, const nlohmann::json& message);
     void send_heartbeat();
+    void send_heartbeat_once();
+    void send_probe_to(const member& to);
+    void send_sign_of_life(const io::address& to, bool held_dead);
     void send_hello(const io::address& to, bool ask);
+    void announce();
+    void greet(const std::string& seed);
     void greet_seeds();
-    void send_to_peers(std::string_view bytes);
+    void greet_missing_seeds();
     void take_datagram(const io::address& from, std::string_view bytes);
     void take_message(const io::address& from, const nlohmann::json& message);
     void take_hello(const io::address& from, const nlohmann::json& message);
     void take_heartbeat(const io::address& from, const nlohmann::json& message);
     void choose_source();
     void ask_if_behind();
-    void ask(const member& peer);
+    void note_answer(question_end how);
+    void compare_view(const member_heartbeat& heartbeat);
     void keep_member_list();
     member_heartbeat make_heartbeat() const;
     duration interval() const;
@@ -71,9 +86,13 @@
     random_engine random_;
     io::datagram_socket socket_;
     departure_relay departures_;
+    member_watch watch_;
+    change_relay changes_;
+    state_question question_;
     io::timer join_timer_;
     io::timer beat_timer_;
     io::timer ask_timer_;
+    io::timer repeat_timer_;
     std::vector<std::string> seeds_;
     std::uint16_t peer_port_;
     reader_choice reader_;
@@ -83,10 +102,11 @@
     bool leaving_ = false;
     std::vector<member> listed_; ///< as last left in the store
     time_point listed_at_{};
-    std::unique_ptr<io::http_client> asked_peer_;
-    std::unique_ptr<io::http_call> question_;
-    std::string answer_;
-    int answer_status_ = 0;
+    bool was_large_ = false;
+    std::set<std::string> announced_; ///< processes that know this one
+    time_point seeds_greeted_at_{};
+    int other_views_ = 0; ///< in a row
+    time_point view_asked_at_{};
 };
 
 } // namespace vanillapost::router
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -78,6 +78,12 @@
       state_questions_(
           make_counters(registry_, "vanillapost_state_questions_total",
                         "Questions for a peer's state, by their end")),
+      member_deaths_(make_counters(registry_, "vanillapost_member_deaths_total",
+                                   "Members that were declared dead")
+                         .Add({})),
+      peer_bytes_(make_counters(registry_, "vanillapost_peer_bytes_total",
+                                "Bytes sent to peers in datagrams, by kind and "
+                                "whether to another data centre")),
       in_flight_(make_gauge(registry_, "vanillapost_requests_in_flight",
                             "Requests without their whole answer")),
       version_(make_gauge(registry_, "vanillapost_configuration_version",
@@ -165,6 +171,19 @@
     state_questions_.Add({{"result", std::string(result)}}).Increment();
 }
 
+void router_metrics::count_member_death()
+{
+    member_deaths_.Increment();
+}
+
+void router_metrics::count_peer_bytes(std::string_view kind, bool crosses,
+                                      std::size_t bytes)
+{
+    peer_bytes_
+        .Add({{"kind", std::string(kind)}, {"crosses", crosses ? "yes" : "no"}})
+        .Increment(static_cast<double>(bytes));
+}
+
 void router_metrics::set_in_flight(std::size_t requests)
 {
     in_flight_.Set(static_cast<double>(requests));
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -52,6 +52,14 @@
     /// \param result  "taken", "unreadable" or "unanswered"
     void count_state_question(std::string_view result);
 
+    /// A member was declared dead.
+    void count_member_death();
+    /// Bytes of datagrams to peers.
+    /// \param kind  of message
+    /// \param crosses  to another data centre
+    void count_peer_bytes(std::string_view kind, bool crosses,
+                          std::size_t bytes);
+
     void set_in_flight(std::size_t requests);
     void set_configuration_version(std::uint64_t version);
     void set_store_reachable(bool reachable);
@@ -85,6 +93,8 @@
     prometheus::Counter& callback_failures_;
     prometheus::Family<prometheus::Counter>& unreadable_rows_;
     prometheus::Family<prometheus::Counter>& state_questions_;
+    prometheus::Counter& member_deaths_;
+    prometheus::Family<prometheus::Counter>& peer_bytes_;
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& version_;
     prometheus::Gauge& store_;
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -98,7 +98,11 @@
          {"configuration", std::to_string(known_.routes().config().version)},
          {"status", std::to_string(why.status)},
          {"reason", why.detail}});
-    reply_problem(exchange, why, request.id, language_);
+    auto told = why;
+    if (told.retry_after)
+        told.retry_after =
+            spread_return({*told.retry_after}, draw_share(random_));
+    reply_problem(exchange, told, request.id, language_);
 }
 
 int request_engine::waiting(const service_id& service) const
--- a/apps/router/requests/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -53,9 +53,11 @@
 configured_filter::operator()(incoming_request&,
                               const filter_context& context) const
 {
-    if (context.known.is_configured())
-        return std::nullopt;
-    return unconfigured("no configuration is known yet");
+    if (!context.known.is_configured())
+        return unconfigured("no configuration is known yet");
+    if (context.known.targets.all().empty())
+        return unconfigured("no target is known yet");
+    return std::nullopt;
 }
 
 std::optional<problem>
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -166,7 +166,7 @@
         check_leaving(now);
         return;
     }
-    const bool ready = known_.is_configured();
+    const bool ready = known_.is_configured() && state_.is_complete();
     if (ready != ready_) {
         ready_ = ready;
         directory_.set_ready(ready);
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -88,6 +88,21 @@
         each->follower->start(each->state.revision());
 }
 
+void state_controller::read_once()
+{
+    if (following_)
+        return;
+    tried_at_ = loop_.now();
+    works_ = true;
+    log_.state(io::log_level::info, "reads_store_once");
+    for (const auto* each : followed_tables()) {
+        const bool unread =
+            each->state.revision() == 0 && !each->follower->is_started();
+        if (unread)
+            each->follower->read_once();
+    }
+}
+
 void state_controller::stop_following()
 {
     if (!following_)
@@ -125,11 +140,21 @@
     return {operators_.state.revision(), targets_.state.revision()};
 }
 
+bool state_controller::is_complete() const
+{
+    return std::ranges::all_of(followed_tables(), [](const auto* each) {
+        return each->state.revision() > 0;
+    });
+}
+
 json state_controller::difference(const state_revisions& known) const
 {
     json members = json::array({to_json(known_.members.self())});
-    for (const auto& peer : known_.members.live_peers(loop_.now()))
-        members.push_back(to_json(peer.who));
+    for (const auto& peer : known_.members.live_peers(loop_.now())) {
+        auto told = to_json(peer.who);
+        told["heartbeat"] = to_json(peer.heartbeat);
+        members.push_back(std::move(told));
+    }
     auto targets = targets_.state.since(known.targets);
     targets.after_outage = known_.targets.is_relisting(loop_.now());
     return {{"operators", to_message(operators_.state.since(known.operators))},
@@ -159,13 +184,25 @@
 {
     for (const auto& each : list) {
         try {
-            known_.members.on_listed(parse_member(each), loop_.now());
+            add_listed_member(each);
         } catch (const error& failure) {
             report("members_unreadable", "", failure.what());
         }
     }
 }
 
+// A peer also tells what it last heard of each.
+void state_controller::add_listed_member(const json& document)
+{
+    const auto who = parse_member(document);
+    if (!document.contains("heartbeat")) {
+        known_.members.on_listed(who, loop_.now());
+        return;
+    }
+    const auto heartbeat = parse_member_heartbeat(document.at("heartbeat"));
+    known_.members.on_told(who, heartbeat, loop_.now());
+}
+
 bool state_controller::knows_newest()
 {
     const bool reads_store = following_ && access() == store_access::works;
@@ -174,16 +211,16 @@
     return freshness_.is_fresh();
 }
 
-void state_controller::merge(shared_table which,
+bool state_controller::merge(shared_table which,
                              const state_difference& difference,
                              std::string_view peer)
 {
     // What is missing in between is asked for with the next heartbeat.
-    if (table_of(which).state.follows(difference))
-        apply(which, difference, peer);
+    return table_of(which).state.follows(difference) &&
+           apply(which, difference, peer);
 }
 
-void state_controller::apply(shared_table which,
+bool state_controller::apply(shared_table which,
                              const state_difference& difference,
                              std::string_view peer)
 {
@@ -198,12 +235,13 @@
         known_.targets.on_list_back(now);
     const auto changed = table.state.apply(difference, now);
     if (changed.empty())
-        return;
+        return false;
     note_taken(table, before, changed.size(), peer);
     (this->*table.take)(changed);
     if (is_own)
         on_change_(which, {before, table.state.revision(), difference.whole,
                            known_.targets.is_relisting(now), changed});
+    return true;
 }
 
 void state_controller::note_taken(const table& taken, std::uint64_t before,
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -36,6 +36,13 @@
     void follow_store();
     void stop_following();
 
+    /// Reads the tables that are not known at all, and follows none. For when
+    /// peers have no time to tell them.
+    void read_once();
+
+    /// Whether all tables are known that requests need.
+    bool is_complete() const;
+
     bool is_following() const
     {
         return following_;
@@ -57,7 +64,8 @@
     void merge(const nlohmann::json& difference, std::string_view peer);
 
     /// Takes over changes of one table, unless some before them are missing.
-    void merge(shared_table which, const state_difference& difference,
+    /// \return whether anything was new
+    bool merge(shared_table which, const state_difference& difference,
                std::string_view peer);
 
     /// Takes a member that names itself.
@@ -100,7 +108,7 @@
     void set_up(shared_table which, const std::string& name,
                 io::row_store& store, random_engine random);
     /// \param peer  whom it comes from; empty: the store
-    void apply(shared_table which, const state_difference& difference,
+    bool apply(shared_table which, const state_difference& difference,
                std::string_view peer);
     void note_taken(const table& taken, std::uint64_t before, std::size_t rows,
                     std::string_view peer);
@@ -111,6 +119,7 @@
     void take_target_rows(const std::vector<io::store_row>& changed);
     void take_target_row(const io::store_row& row);
     void finish_target_rows();
+    void add_listed_member(const nlohmann::json& document);
     void add_listed_members(const nlohmann::json& list);
     void take_member_rows(const std::vector<io::store_row>& rows);
     void note_access(bool works);
--- a/apps/router/state/state_table.cpp
+++ b/apps/router/state/state_table.cpp
@@ -77,6 +77,45 @@
     }
 }
 
+std::vector<state_difference> split(const state_difference& difference,
+                                    std::size_t max_bytes)
+{
+    // Of a row in a message beside its key and value, and of the message.
+    constexpr std::size_t row_bytes = 40;
+    constexpr std::size_t message_bytes = 100;
+    if (difference.whole || difference.rows.empty())
+        return {};
+    auto rows = difference.rows;
+    std::ranges::stable_sort(rows, {}, &io::store_row::revision);
+    std::vector<state_difference> parts;
+    std::size_t bytes = 0;
+    for (std::size_t begin = 0; begin < rows.size();) {
+        auto end = begin;
+        std::size_t group = 0;
+        while (end < rows.size() &&
+               rows[end].revision == rows[begin].revision) {
+            group += row_bytes + rows[end].key.size() + rows[end].value.size();
+            ++end;
+        }
+        if (message_bytes + group > max_bytes)
+            return {};
+        if (parts.empty() || bytes + group > max_bytes) {
+            const auto after =
+                parts.empty() ? difference.after : parts.back().revision;
+            parts.push_back({after, 0, false, difference.after_outage, {}});
+            bytes = message_bytes;
+        }
+        bytes += group;
+        auto& part = parts.back();
+        part.revision = rows[begin].revision;
+        part.rows.insert(part.rows.end(), rows.begin() + begin,
+                         rows.begin() + end);
+        begin = end;
+    }
+    parts.back().revision = difference.revision;
+    return parts;
+}
+
 std::vector<io::store_row>
 state_table::apply(const state_difference& difference, time_point now)
 {
--- a/apps/router/state/state_table.hpp
+++ b/apps/router/state/state_table.hpp
@@ -29,6 +29,12 @@
 /// \throws error  when a field is missing or of another type
 state_difference parse_state_difference(const nlohmann::json& document);
 
+/// The difference in parts that are applied one after the other, each for a
+/// message of about `max_bytes`; none when it cannot be cut so, as the rows of
+/// one revision stay together.
+std::vector<state_difference> split(const state_difference& difference,
+                                    std::size_t max_bytes);
+
 /// A copy of one table of the store. Rows never go back, whichever way and in
 /// whichever order news of them arrives.
 class state_table
--- a/include/vanillapost/members.hpp
+++ b/include/vanillapost/members.hpp
@@ -5,6 +5,7 @@
 /// and which addresses callers are told.
 
 #include "src/members/address_choice.hpp"
+#include "src/members/failure_detector.hpp"
 #include "src/members/freshness.hpp"
 #include "src/members/member.hpp"
 #include "src/members/member_codec.hpp"
--- a/include/vanillapost/src/io/table_follower.hpp
+++ b/include/vanillapost/src/io/table_follower.hpp
@@ -49,6 +49,10 @@
     /// whole table first when that is 0.
     void start(std::uint64_t known_revision = 0);
 
+    /// Reads the whole table and does not follow its changes. While the store
+    /// does not answer it is tried again.
+    void read_once();
+
     /// Ends a call that is out, and makes no more.
     void stop();
 
@@ -89,6 +93,7 @@
     std::vector<store_row> pages_;
     std::uint64_t read_revision_ = 0; ///< of the first page being read
     std::uint64_t revision_ = 0;
+    bool once_ = false;
     bool needs_read_ = true;
     bool reachable_ = true;
     bool started_ = false;
--- a/include/vanillapost/src/members/member.hpp
+++ b/include/vanillapost/src/members/member.hpp
@@ -52,8 +52,13 @@
     bool ready = false;     ///< it takes requests
     bool leaving = false;   ///< it ends soon
     bool following = false; ///< it follows the store itself
+    /// It sends heartbeats to few, and answers when it is probed; silence of
+    /// such a member means nothing.
+    bool is_probed = false;
     store_access store = store_access::untried;
     state_revisions revisions;
+    /// Digest of the members that it takes for live; 0 when it tells none.
+    std::uint64_t view = 0;
 };
 
 } // namespace vanillapost
--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -18,10 +18,11 @@
     double silence_heartbeats = 3.4;
     /// A member that is silent for so long is forgotten.
     duration forget_after = std::chrono::seconds(60);
-    /// Members beyond which heartbeats are sent more rarely, so that their
-    /// cost to an instance stays the same.
+    /// Up to so many members everybody sends heartbeats to everybody. In a
+    /// larger fleet members are probed (\ref failure_detector).
     std::size_t members_at_full_rate = 24;
-    duration longest_heartbeat = std::chrono::milliseconds(1000);
+    /// A member that was heard so lately is not declared dead by others.
+    duration life_sign_lasts = std::chrono::milliseconds(750);
 };
 
 /// A member and what it said last.
@@ -29,6 +30,8 @@
 {
     member who;
     member_heartbeat heartbeat;
+    /// Since it was heard by this instance itself; the maximum when it was
+    /// only told of.
     duration silent_for{};
 };
 
@@ -48,6 +51,38 @@
     /// heard speaks for itself.
     void on_listed(const member& who, time_point now);
 
+    /// A member and its last heartbeat from a peer that takes it for live.
+    void on_told(const member& who, const member_heartbeat& heartbeat,
+                 time_point now);
+
+    /// Enough members found that it does not answer.
+    /// \return whether it was taken for live
+    bool on_dead(const entry_id& name, const std::string& incarnation,
+                 time_point now);
+
+    /// Whether the member itself was heard within that time.
+    bool was_heard(const entry_id& name, duration within, time_point now) const;
+
+    /// Whether it was declared dead and has not been heard since.
+    bool is_dead(const entry_id& name) const;
+
+    /// A member that has to be probed and is not known to be dead.
+    const member* find_probed(const entry_id& name) const;
+    std::vector<entry_id> probed_peers(time_point now) const;
+
+    /// Members that were declared dead.
+    std::vector<member> dead_peers(time_point now) const;
+
+    /// Whether the fleet is so large that this instance is probed as well.
+    bool is_large() const
+    {
+        return peers_.size() + 1 > settings_.members_at_full_rate;
+    }
+
+    /// Digest of the live members, this one included; equal views have equal
+    /// ones.
+    std::uint64_t view(time_point now) const;
+
     /// \return false when the sender is unknown: ask it who it is
     bool on_heartbeat(const member_heartbeat& heartbeat, time_point now);
 
@@ -63,7 +98,10 @@
     /// Members that live and take requests, without this one.
     std::vector<member> ready_peers(time_point now) const;
 
-    duration heartbeat_interval() const;
+    duration heartbeat_interval() const
+    {
+        return settings_.heartbeat;
+    }
 
     const member& self() const
     {
@@ -76,6 +114,8 @@
         member who;
         member_heartbeat heartbeat;
         std::optional<time_point> heard;
+        bool told_live = false;               ///< by a peer that takes it so
+        std::optional<time_point> dead_since; ///< declared
         time_point known_since{};
         bool was_live = false;
         bool was_ready = false;
--- a/src/io/table_follower.cpp
+++ b/src/io/table_follower.cpp
@@ -31,9 +31,16 @@
     reachable_ = true;
     confirmed_ = false;
     failures_ = 0;
+    once_ = false;
     next();
 }
 
+void table_follower::read_once()
+{
+    start();
+    once_ = true;
+}
+
 void table_follower::stop()
 {
     started_ = false;
@@ -81,7 +88,10 @@
     const auto rows = std::exchange(pages_, {});
     const bool back = note_answer();
     // Before the handlers: it must go on when one of them fails.
-    follow();
+    if (once_)
+        stop();
+    else
+        follow();
     if (back)
         handlers_.on_back();
     handlers_.on_read(rows, read_revision_);
--- a/src/members/member_codec.cpp
+++ b/src/members/member_codec.cpp
@@ -62,14 +62,19 @@
 
 json to_json(const member_heartbeat& heartbeat)
 {
-    return {{"n", heartbeat.name.value},
-            {"i", heartbeat.incarnation},
-            {"r", heartbeat.ready},
-            {"l", heartbeat.leaving},
-            {"f", heartbeat.following},
-            {"s", static_cast<int>(heartbeat.store)},
-            {"o", heartbeat.revisions.operators},
-            {"t", heartbeat.revisions.targets}};
+    json message = {{"n", heartbeat.name.value},
+                    {"i", heartbeat.incarnation},
+                    {"r", heartbeat.ready},
+                    {"l", heartbeat.leaving},
+                    {"f", heartbeat.following},
+                    {"s", static_cast<int>(heartbeat.store)},
+                    {"o", heartbeat.revisions.operators},
+                    {"t", heartbeat.revisions.targets}};
+    if (heartbeat.is_probed)
+        message["p"] = true;
+    if (heartbeat.view != 0)
+        message["v"] = heartbeat.view;
+    return message;
 }
 
 member parse_member(const json& document)
@@ -97,6 +102,11 @@
         heartbeat.ready = document.at("r").get<bool>();
         heartbeat.leaving = document.at("l").get<bool>();
         heartbeat.following = document.at("f").get<bool>();
+        // Left out where they say nothing, and by peers of earlier versions.
+        heartbeat.is_probed =
+            document.contains("p") && document.at("p").get<bool>();
+        if (document.contains("v"))
+            heartbeat.view = read_whole(document, "v", max_exact_whole);
         heartbeat.store = static_cast<store_access>(read_whole(
             document, "s", static_cast<std::uint64_t>(store_access::lost)));
         heartbeat.revisions.operators =
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <xxhash.h>
 
 namespace vanillapost {
 
@@ -33,6 +34,93 @@
         on_known(who, now);
 }
 
+void member_table::on_told(const member& who, const member_heartbeat& heartbeat,
+                           time_point now)
+{
+    on_listed(who, now);
+    const auto found = peers_.find(who.name);
+    if (found == peers_.end() || !heartbeat.is_probed || found->second.heard)
+        return;
+    auto& peer = found->second;
+    if (peer.dead_since || peer.who.incarnation != heartbeat.incarnation)
+        return;
+    peer.heartbeat = heartbeat;
+    peer.told_live = true;
+}
+
+bool member_table::on_dead(const entry_id& name, const std::string& incarnation,
+                           time_point now)
+{
+    const auto found = peers_.find(name);
+    if (found == peers_.end() || found->second.who.incarnation != incarnation)
+        return false;
+    auto& peer = found->second;
+    if (peer.dead_since || !peer.heartbeat.is_probed ||
+        was_heard(name, settings_.life_sign_lasts, now))
+        return false;
+    peer.dead_since = now;
+    return true;
+}
+
+bool member_table::was_heard(const entry_id& name, duration within,
+                             time_point now) const
+{
+    const auto found = peers_.find(name);
+    return found != peers_.end() && found->second.heard &&
+           now - *found->second.heard <= within;
+}
+
+bool member_table::is_dead(const entry_id& name) const
+{
+    const auto found = peers_.find(name);
+    return found != peers_.end() && found->second.dead_since;
+}
+
+const member* member_table::find_probed(const entry_id& name) const
+{
+    const auto found = peers_.find(name);
+    if (found == peers_.end())
+        return nullptr;
+    const auto& peer = found->second;
+    const bool known = peer.heard || peer.told_live;
+    const bool probed = known && peer.heartbeat.is_probed &&
+                        !peer.heartbeat.leaving && !peer.dead_since;
+    return probed ? &peer.who : nullptr;
+}
+
+std::vector<entry_id> member_table::probed_peers(time_point) const
+{
+    std::vector<entry_id> result;
+    for (const auto& [name, peer] : peers_)
+        if (find_probed(name))
+            result.push_back(name);
+    return result;
+}
+
+std::vector<member> member_table::dead_peers(time_point) const
+{
+    std::vector<member> result;
+    for (const auto& [name, peer] : peers_)
+        if (peer.dead_since && !peer.heartbeat.leaving)
+            result.push_back(peer.who);
+    return result;
+}
+
+// A sum, so that the order of members does not matter.
+std::uint64_t member_table::view(time_point now) const
+{
+    const auto digest = [](const member& who) {
+        const auto text = who.name.value + '\n' + who.incarnation;
+        return XXH64(text.data(), text.size(), 0);
+    };
+    std::uint64_t sum = digest(self_);
+    for (const auto& [name, peer] : peers_)
+        if (is_live(peer, now))
+            sum += digest(peer.who);
+    constexpr std::uint64_t exact = (std::uint64_t{1} << 53) - 1;
+    return std::max<std::uint64_t>(sum & exact, 1);
+}
+
 bool member_table::on_heartbeat(const member_heartbeat& heartbeat,
                                 time_point now)
 {
@@ -44,6 +132,7 @@
         return false;
     found->second.heartbeat = heartbeat;
     found->second.heard = now;
+    found->second.dead_since.reset();
     return true;
 }
 
@@ -58,8 +147,11 @@
         peer.was_ready = ready;
     }
     std::erase_if(peers_, [&](const auto& each) {
-        const auto since = each.second.heard.value_or(each.second.known_since);
-        return now - since > settings_.forget_after;
+        const auto& peer = each.second;
+        if (is_live(peer, now))
+            return false;
+        const auto last = peer.heard.value_or(peer.known_since);
+        return now - peer.dead_since.value_or(last) > settings_.forget_after;
     });
     return changed;
 }
@@ -77,7 +169,9 @@
     std::vector<known_member> result;
     for (const auto& [name, peer] : peers_)
         if (is_live(peer, now))
-            result.push_back({peer.who, peer.heartbeat, now - *peer.heard});
+            result.push_back(
+                {peer.who, peer.heartbeat,
+                 peer.heard ? now - *peer.heard : duration::max()});
     return result;
 }
 
@@ -90,18 +184,12 @@
     return result;
 }
 
-duration member_table::heartbeat_interval() const
-{
-    const auto members = static_cast<std::int64_t>(peers_.size() + 1);
-    const auto full = static_cast<std::int64_t>(settings_.members_at_full_rate);
-    return std::min(settings_.heartbeat * std::max(members, full) / full,
-                    settings_.longest_heartbeat);
-}
-
 bool member_table::is_live(const entry& each, time_point now) const
 {
-    if (!each.heard || each.heartbeat.leaving)
+    if (each.heartbeat.leaving || (!each.heard && !each.told_live))
         return false;
+    if (each.heartbeat.is_probed)
+        return !each.dead_since;
     const auto limit = std::chrono::duration_cast<duration>(
         heartbeat_interval() * settings_.silence_heartbeats);
     return now - *each.heard <= limit;
--- a/test/state_table.cpp
+++ b/test/state_table.cpp
@@ -40,6 +40,44 @@
         parse_message(write_message(message)).at("change"));
 }
 
+// Each part leaves a copy that is exact at its revision.
+RC_GTEST_PROP(StateMessage, PartsComeToTheSameAsTheWhole, ())
+{
+    state_difference whole{5, 5, false, false, {}};
+    const auto count = *rc::gen::inRange(1, 40);
+    for (int i = 0; i < count; ++i) {
+        whole.revision += *rc::gen::inRange<std::uint64_t>(0, 3);
+        auto row = put("k" + std::to_string(*rc::gen::inRange(0, 9)),
+                       std::max<std::uint64_t>(whole.revision, 6));
+        row.removed = *rc::gen::arbitrary<bool>();
+        whole.rows.push_back(row);
+    }
+    whole.revision = std::max<std::uint64_t>(whole.revision, 6);
+    const auto parts = split(whole, 300);
+    state_table at_once;
+    at_once.apply({0, 5, true, false, {}}, start);
+    auto in_parts = at_once;
+    at_once.apply(whole, start);
+    std::uint64_t before = 5;
+    for (const auto& part : parts) {
+        RC_ASSERT(part.after == before);
+        RC_ASSERT(part.rows.empty() || part.rows.front().revision > before);
+        RC_ASSERT(in_parts.follows(part));
+        in_parts.apply(part, start);
+        before = part.revision;
+    }
+    if (!parts.empty())
+        RC_ASSERT(present(in_parts) == present(at_once));
+    RC_ASSERT(parts.empty() || before == whole.revision);
+}
+
+TEST(StateMessage, AWholeTableAndALongRowAreNotCut)
+{
+    EXPECT_TRUE(split({0, 7, true, false, {put("k", 7)}}, 300).empty());
+    const io::store_row longer{"k", std::string(400, 'x'), 7, false};
+    EXPECT_TRUE(split({5, 7, false, false, {longer}}, 300).empty());
+}
+
 // Ended routers that were asked for their state, 2026-12-04.
 TEST(StateMessage, ARowThatIsNoUtf8CouldNotBeTold)
 {
