Read the state from the store when no peer tells it at once

Change: whoever knows no state 150 ms after it was first greeted reads the store once. Result: not measured yet at full size.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -29,6 +29,9 @@
 constexpr duration member_read_interval = 5s;
 /// Until a peer is asked again after one that did not tell its state.
 constexpr duration untold_delay = 200ms;
+/// Whoever starts knows the members within a round trip; a peer that has time
+/// then tells a state within this time.
+constexpr duration first_state_limit = 150ms;
 /// A heartbeat that all have to hear may be lost.
 constexpr duration repeat_delay = 300ms;
 /// Peers that show another view of the members so often in a row are asked for
@@ -72,6 +75,7 @@
       beat_timer_(loop, [this] { beat(); }),
       ask_timer_(loop, [this] { ask_if_behind(); }),
       repeat_timer_(loop, [this] { send_heartbeat_once(); }),
+      untold_timer_(loop, [this] { read_if_untold(); }),
       seeds_(std::move(seeds)), peer_port_(where.port), reader_(loop.now()),
       started_(loop.now())
 {
@@ -332,6 +336,8 @@
 void peer_controller::take_hello(const io::address& from, const json& message)
 {
     state_.add_member(message.at("hello"));
+    if (!std::exchange(was_greeted_, true))
+        untold_timer_.start_once(first_state_limit);
     if (message.at("ask").get<bool>())
         send_hello(from, false);
     take_heartbeat(from, message);
@@ -373,15 +379,20 @@
         question_.ask(knowing[random_() % knowing.size()]);
 }
 
+// Whoever starts together with many others is told by no peer in time; the
+// store can tell all of them.
+void peer_controller::read_if_untold()
+{
+    if (!state_.is_complete())
+        state_.read_once();
+}
+
 void peer_controller::note_answer(question_end how)
 {
-    // Whoever starts together with many others gets no answer from a peer in
-    // time; the store can tell all of them.
     const bool untold =
         how == question_end::busy || how == question_end::unanswered;
-    if (untold && !state_.is_complete())
-        state_.read_once();
     if (untold) {
+        read_if_untold();
         ask_timer_.start_once(untold_delay);
         return;
     }
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -71,6 +71,7 @@
     void take_heartbeat(const io::address& from, const nlohmann::json& message);
     void choose_source();
     void ask_if_behind();
+    void read_if_untold();
     void note_answer(question_end how);
     void compare_view(const member_heartbeat& heartbeat);
     void keep_member_list();
@@ -93,6 +94,7 @@
     io::timer beat_timer_;
     io::timer ask_timer_;
     io::timer repeat_timer_;
+    io::timer untold_timer_;
     std::vector<std::string> seeds_;
     std::uint16_t peer_port_;
     reader_choice reader_;
@@ -103,6 +105,7 @@
     std::vector<member> listed_; ///< as last left in the store
     time_point listed_at_{};
     bool was_large_ = false;
+    bool was_greeted_ = false;        ///< by any peer since the start
     std::set<std::string> announced_; ///< processes that know this one
     time_point seeds_greeted_at_{};
     int other_views_ = 0; ///< in a row
