Look at all targets once for many changes, and at owners of cold ones on use

Processes starved, doubted each other and lost the store. Ruled out: the probes between members, 5 messages a second. Change: rows are taken over at once and the placer is refreshed 20 ms later, for all that came meanwhile; owners of a target are computed when it is cold and asked for.

--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -1,6 +1,7 @@
 #include "state/state_controller.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillapost::router {
 
@@ -14,6 +15,7 @@
 /// Row of the member table with all members.
 constexpr std::string_view member_list_key = "list";
 constexpr std::string_view from_store;
+constexpr duration refresh_delay = 20ms;
 
 } // namespace
 
@@ -25,6 +27,7 @@
     : loop_(loop), store_(store), language_(language), known_(known),
       metrics_(metrics), log_(log), on_change_(std::move(on_change)),
       removal_timer_(loop, [this] { finish_target_rows(); }),
+      refresh_timer_(loop, [this] { finish_target_rows(); }),
       alive_(std::make_shared<bool>(true))
 {
     operators_.take = &state_controller::take_operator_rows;
@@ -324,12 +327,15 @@
 {
     for (const auto& row : changed)
         take_target_row(row);
-    finish_target_rows();
+    // Changes come in many messages, and a refresh looks at all targets.
+    if (!std::exchange(refresh_is_due_, true))
+        refresh_timer_.start_once(refresh_delay);
 }
 
 void state_controller::finish_target_rows()
 {
     const auto now = loop_.now();
+    refresh_is_due_ = false;
     known_.targets.advance(now);
     known_.refresh_targets(now);
     if (const auto next = known_.targets.next_removal())
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -138,6 +138,8 @@
     table operators_;
     table targets_;
     io::timer removal_timer_;
+    io::timer refresh_timer_;
+    bool refresh_is_due_ = false;
     std::shared_ptr<bool> alive_; ///< false once destroyed; held by callbacks
     bool following_ = false;
     bool works_ = false;
--- a/include/vanillapost/src/placement/target_placer.hpp
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -93,7 +93,10 @@
         double cold_rate = 0;
         double preference = 0; ///< of this instance; 0 is the most preferred
         bool usable = false;
-        std::vector<entry_id> owners; ///< while it is cold
+        /// Of it while it is cold, and of which members. Made on use: there are
+        /// many targets and few cold ones.
+        mutable std::vector<entry_id> owners;
+        mutable std::uint64_t owners_of_members = 0;
     };
 
     struct candidate
@@ -113,6 +116,7 @@
     void drop_failing(std::vector<candidate>& order, time_point now) const;
     bool may_use(entry& each, const placement_request& request,
                  time_point now) const;
+    const std::vector<entry_id>& owners(const entry& each) const;
     bool owns(const entry& each) const;
     bool has_cold_slot(const entry& each, int cold_slots, time_point now) const;
     bool is_first_owner(const entry& each) const;
@@ -134,6 +138,7 @@
     std::map<target_id, entry> targets_;
     std::map<service_id, std::vector<entry*>> services_;
     std::vector<owner_candidate> members_;
+    std::uint64_t members_version_ = 1;
 };
 
 } // namespace vanillapost
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -87,7 +87,7 @@
         const auto rate = cold_rates.find(record.service);
         each.cold_rate = rate == cold_rates.end() ? 0 : rate->second;
         if (added || moved)
-            each.owners = cold_owners(id, record.data_centre, members_);
+            each.owners_of_members = 0;
         if (added)
             each.preference = preference_of(settings_.self, id);
     }
@@ -126,8 +126,7 @@
 void target_placer::set_members(std::vector<owner_candidate> members)
 {
     members_ = std::move(members);
-    for (auto& [id, each] : targets_)
-        each.owners = cold_owners(id, each.record.data_centre, members_);
+    ++members_version_;
 }
 
 placement_decision target_placer::choose(const placement_request& request,
@@ -278,14 +277,26 @@
            each.knowledge.load(now) + 1 <= cold_slots + 0.5;
 }
 
+const std::vector<entry_id>& target_placer::owners(const entry& each) const
+{
+    if (each.owners_of_members != members_version_) {
+        each.owners =
+            cold_owners(each.record.id, each.record.data_centre, members_);
+        each.owners_of_members = members_version_;
+    }
+    return each.owners;
+}
+
 bool target_placer::is_first_owner(const entry& each) const
 {
-    return !each.owners.empty() && each.owners.front() == settings_.self;
+    const auto& found = owners(each);
+    return !found.empty() && found.front() == settings_.self;
 }
 
 bool target_placer::owns(const entry& each) const
 {
-    return std::ranges::find(each.owners, settings_.self) != each.owners.end();
+    const auto& found = owners(each);
+    return std::ranges::find(found, settings_.self) != found.end();
 }
 
 target_placer::candidate target_placer::assess(entry& each,
