Keep requests in a data centre with eight targets that have room

Change: with eight local targets that are not crowded, remote ones are left out of the choice. Smaller sites, with three to six local targets, place as before. Load pattern and test: Placement.RequestsStayInADataCentreWhileItHasRoomEnough.

--- a/include/vanillapost/src/placement/target_placer.hpp
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -36,6 +36,10 @@
     /// What a KiB from another data centre costs, as time that a caller would
     /// wait to save it.
     duration remote_delay_per_kib = std::chrono::milliseconds(5);
+    /// With so many targets of its own data centre that have room, a request
+    /// stays there: one of them is as good as any, and bytes between data
+    /// centres cost money.
+    std::size_t enough_local = 8;
     /// Use of slots above which a target slows down, and by how much.
     double knee_use = 0.8;
     double knee_factor = 1.7;
@@ -114,6 +118,7 @@
     candidate assess(entry& each, const placement_request& request,
                      time_point now) const;
     void drop_failing(std::vector<candidate>& order, time_point now) const;
+    void drop_remote(std::vector<candidate>& order) const;
     bool may_use(entry& each, const placement_request& request,
                  time_point now) const;
     const std::vector<entry_id>& owners(const entry& each) const;
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -231,6 +231,7 @@
         order.push_back(assessed);
     }
     drop_failing(order, now);
+    drop_remote(order);
     std::ranges::sort(order, [](const candidate& one, const candidate& other) {
         if (one.full != other.full)
             return !one.full;
@@ -251,6 +252,18 @@
         std::erase_if(order, fails);
 }
 
+void target_placer::drop_remote(std::vector<candidate>& order) const
+{
+    const auto is_local = [&](const candidate& each) {
+        return each.target->record.data_centre == settings_.data_centre;
+    };
+    const auto open = std::ranges::count_if(order, [&](const auto& each) {
+        return is_local(each) && !each.crowded;
+    });
+    if (static_cast<std::size_t>(open) >= settings_.enough_local)
+        std::erase_if(order, [&](const auto& each) { return !is_local(each); });
+}
+
 bool target_placer::may_use(entry& each, const placement_request& request,
                             time_point now) const
 {
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -117,6 +117,23 @@
     EXPECT_EQ(p.chosen(start, 90), "near");
 }
 
+// In a large fleet: crossing costs money, and one of many is as good as any.
+TEST(Placement, RequestsStayInADataCentreWhileItHasRoomEnough)
+{
+    std::vector<std::string> local;
+    for (int i = 0; i < 10; ++i)
+        local.push_back("l" + std::to_string(i));
+    placed p(local, {"far"});
+    p.report("far", 0, 0.5);
+    for (const auto& id : local)
+        p.report(id, 0, 2);
+    EXPECT_NE(p.chosen(), "far");
+    // Before callers are late: the others are full or slowed by one more.
+    for (int i = 0; i < 3; ++i)
+        p.report(local[static_cast<std::size_t>(i)], 2, 2);
+    EXPECT_EQ(p.chosen(), "far");
+}
+
 // In an overload a queue makes all requests late; refused ones come back.
 TEST(Placement, RequestsQueueAtATargetOnlyIfTheyAreStillDoneInTime)
 {
