Tell the list of members only to who wants it

Cause: each answer to a peer that lacks some rows had all members in it, 60 KB at 189 entries; and views that differ for a moment were asked for every 3 s, most from other data centres. Change: a question names whether members are wanted; one answer with them since the start is, and another where views differ near by.

--- a/apps/router/directory/directory.cpp
+++ b/apps/router/directory/directory.cpp
@@ -14,7 +14,7 @@
 constexpr int status_unavailable = 503;
 /// Longer answers with state are told to few at a time: a link that is slow
 /// carries some ten of them a second.
-constexpr std::size_t longest_free_state = std::size_t{64} * 1024;
+constexpr std::size_t longest_free_state = std::size_t{32} * 1024;
 constexpr std::size_t most_long_states = 4;
 constexpr duration long_state_window = std::chrono::milliseconds(400);
 constexpr std::string_view state_path = "/v2/state";
@@ -101,7 +101,10 @@
         return value;
     };
     const state_revisions known{revision("operators"), revision("targets")};
-    auto bytes = io::detail::write_message(state_.difference(known));
+    // Peers of earlier versions do not say, and take all.
+    const bool with_members = io::query_value(query, "members") != "no";
+    auto bytes =
+        io::detail::write_message(state_.difference(known, with_members));
     if (bytes.size() > longest_free_state && !may_tell_long_state())
         return text_answer(status_unavailable, "telling others");
     return {status_ok, cbor_type, std::move(bytes)};
--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -35,9 +35,9 @@
 /// A heartbeat that all have to hear may be lost.
 constexpr duration repeat_delay = 300ms;
 /// Peers that show another view of the members so often in a row are asked for
-/// theirs.
-constexpr int most_other_views = 4;
-constexpr duration view_question_interval = 3s;
+/// theirs, where that is near: it is long.
+constexpr int most_other_views = 8;
+constexpr duration view_question_interval = 5s;
 /// Seeds that are not among the live members are greeted again: they may lead
 /// to a part of the fleet that is not known.
 constexpr duration seed_interval = 10s;
@@ -373,10 +373,11 @@
         return;
     std::vector<member> knowing;
     for (const auto& peer : known_.members.live_peers(loop_.now()))
-        if (state_.revisions().is_behind(peer.heartbeat.revisions))
+        if (!members_told_ ||
+            state_.revisions().is_behind(peer.heartbeat.revisions))
             knowing.push_back(peer.who);
     if (!knowing.empty())
-        question_.ask(knowing[random_() % knowing.size()]);
+        question_.ask(knowing[random_() % knowing.size()], !members_told_);
 }
 
 // Whoever starts together with many others is told by no peer in time; the
@@ -396,6 +397,7 @@
         ask_timer_.start_once(untold_delay);
         return;
     }
+    members_told_ = members_told_ || how == question_end::taken;
     // Others may be like one of another version.
     if (how == question_end::unreadable)
         reader_.need_store(loop_.now());
@@ -415,11 +417,13 @@
     const bool due = ++other_views_ >= most_other_views &&
                      now >= view_asked_at_ + view_question_interval;
     const auto* peer = known_.members.find_probed(heartbeat.name);
-    if (!due || !peer || question_.is_open())
+    const bool near =
+        peer && peer->data_centre == known_.members.self().data_centre;
+    if (!due || !near || question_.is_open())
         return;
     view_asked_at_ = now;
     other_views_ = 0;
-    question_.ask(*peer);
+    question_.ask(*peer, true);
 }
 
 // One reader leaves the list: the first by name of those that follow.
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -105,6 +105,7 @@
     std::vector<member> listed_; ///< as last left in the store
     time_point listed_at_{};
     bool was_large_ = false;
+    bool members_told_ = false;       ///< by a peer, since the start
     bool was_greeted_ = false;        ///< by any peer since the start
     std::set<std::string> announced_; ///< processes that know this one
     time_point seeds_greeted_at_{};
--- a/apps/router/peers/state_question.cpp
+++ b/apps/router/peers/state_question.cpp
@@ -38,7 +38,7 @@
 {
 }
 
-void state_question::ask(const member& peer)
+void state_question::ask(const member& peer, bool members)
 {
     const auto known = state_.revisions();
     answer_.clear();
@@ -46,7 +46,8 @@
         loop_, io::parse_address(peer.query_address));
     io::http_request request;
     request.target = "/v2/state?operators=" + std::to_string(known.operators) +
-                     "&targets=" + std::to_string(known.targets);
+                     "&targets=" + std::to_string(known.targets) +
+                     "&members=" + (members ? "yes" : "no");
     io::call_handlers handlers;
     handlers.on_headers = [this](int status,
                                  std::span<const io::header_field>) {
--- a/apps/router/peers/state_question.hpp
+++ b/apps/router/peers/state_question.hpp
@@ -32,7 +32,8 @@
     }
 
     /// Not while one is open.
-    void ask(const member& peer);
+    /// \param members  the list of members is wanted, too
+    void ask(const member& peer, bool members);
 
 private:
     void take_answer(const std::string& peer);
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -150,7 +150,7 @@
     });
 }
 
-json state_controller::difference(const state_revisions& known) const
+json state_controller::tell_members() const
 {
     json members = json::array({to_json(known_.members.self())});
     for (const auto& peer : known_.members.live_peers(loop_.now())) {
@@ -158,11 +158,17 @@
         told["heartbeat"] = to_json(peer.heartbeat);
         members.push_back(std::move(told));
     }
+    return members;
+}
+
+json state_controller::difference(const state_revisions& known,
+                                  bool with_members) const
+{
     auto targets = targets_.state.since(known.targets);
     targets.after_outage = known_.targets.is_relisting(loop_.now());
     return {{"operators", to_message(operators_.state.since(known.operators))},
             {"targets", to_message(targets)},
-            {"members", std::move(members)}};
+            {"members", with_members ? tell_members() : json::array()}};
 }
 
 void state_controller::merge(const json& difference, std::string_view peer)
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -56,7 +56,8 @@
 
     /// What an instance lacks that knows the tables up to `known`, as a
     /// message.
-    nlohmann::json difference(const state_revisions& known) const;
+    nlohmann::json difference(const state_revisions& known,
+                              bool with_members) const;
 
     /// Takes over what a peer knows.
     /// \param peer  whom it comes from, for the log
@@ -119,6 +120,7 @@
     void take_target_rows(const std::vector<io::store_row>& changed);
     void take_target_row(const io::store_row& row);
     void finish_target_rows();
+    nlohmann::json tell_members() const;
     void add_listed_member(const nlohmann::json& document);
     void add_listed_members(const nlohmann::json& list);
     void take_member_rows(const std::vector<io::store_row>& rows);
