Pass changes on through members of every data centre, the reader's own as well

Change: also in its own data centre a reader sends to two members drawn anew each time. A start of the whole platform reads the empty tables once in 2 s.

--- a/apps/router/peers/change_relay.cpp
+++ b/apps/router/peers/change_relay.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t max_relay_bytes = 1200;
 /// Beyond so many datagrams for one change, peers ask for it.
 constexpr std::size_t max_parts = 64;
-/// Members of another data centre that pass a change on there: one may have
-/// just died.
+/// Members of a data centre that pass a change on there: one may have just
+/// died.
 constexpr std::size_t delegates = 2;
 
 std::string_view name_of(shared_table which)
@@ -59,14 +59,13 @@
     if (parts.empty() || parts.size() > max_parts)
         return false;
     for (const auto& part : parts) {
-        const auto bytes = format(which, part, false);
-        if (!known_.members.is_large()) {
-            for (const auto& peer : known_.members.peers())
-                send_(peer, bytes);
+        if (known_.members.is_large()) {
+            send_to_delegates(format(which, part, true));
             continue;
         }
-        send_to(known_.members.self().data_centre, bytes);
-        send_to_delegates(format(which, part, true));
+        const auto bytes = format(which, part, false);
+        for (const auto& peer : known_.members.peers())
+            send_(peer, bytes);
     }
     return true;
 }
@@ -81,11 +80,10 @@
 
 void change_relay::send_to_delegates(const std::string& bytes)
 {
-    std::map<data_centre_id, std::vector<member>> others;
-    for (const auto& peer : known_.members.ready_peers(loop_.now()))
-        if (peer.data_centre != known_.members.self().data_centre)
-            others[peer.data_centre].push_back(peer);
-    for (auto& [data_centre, members] : others) {
+    std::map<data_centre_id, std::vector<member>> peers;
+    for (const auto& each : known_.members.live_peers(loop_.now()))
+        peers[each.who.data_centre].push_back(each.who);
+    for (auto& [data_centre, members] : peers) {
         std::ranges::shuffle(members, random_);
         for (std::size_t i = 0; i < std::min(delegates, members.size()); ++i)
             send_(members[i], bytes);
--- a/apps/router/peers/change_relay.hpp
+++ b/apps/router/peers/change_relay.hpp
@@ -11,9 +11,9 @@
 
 /// Passes changes of the store's tables on as datagrams.
 ///
-/// In a large fleet a reader sends a change to its own data centre and to two
-/// members of each other one, who pass it on there: between data centres it
-/// crosses a few times instead of once for each member.
+/// In a large fleet a reader sends a change to two members of each data centre,
+/// drawn anew each time, who pass it on there: no link carries it to all, and
+/// between data centres it crosses a few times instead of once for each member.
 class change_relay
 {
 public:
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view member_list_key = "list";
 constexpr std::string_view from_store;
 constexpr duration refresh_delay = 20ms;
+/// A platform that has just started has no rows to tell yet.
+constexpr duration read_once_interval = 2s;
 
 } // namespace
 
@@ -93,9 +95,11 @@
 
 void state_controller::read_once()
 {
-    if (following_)
+    const auto now = loop_.now();
+    if (following_ || now < read_once_at_ + read_once_interval)
         return;
-    tried_at_ = loop_.now();
+    read_once_at_ = now;
+    tried_at_ = now;
     works_ = true;
     log_.state(io::log_level::info, "reads_store_once");
     for (const auto* each : followed_tables()) {
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -142,6 +142,7 @@
     io::timer removal_timer_;
     io::timer refresh_timer_;
     bool refresh_is_due_ = false;
+    time_point read_once_at_{};
     std::shared_ptr<bool> alive_; ///< false once destroyed; held by callbacks
     bool following_ = false;
     bool works_ = false;
