Join the set-up of two test files, and drop parameters that nobody reads

Cause: test_wishes had a copy of the scenario runner of test_router; two questions to the member table took a time that they did not use. Change: the runner is in fleet.py; assertions and behaviour as they were.

--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -68,10 +68,10 @@
 
     /// A member that has to be probed and is not known to be dead.
     const member* find_probed(const entry_id& name) const;
-    std::vector<entry_id> probed_peers(time_point now) const;
+    std::vector<entry_id> probed_peers() const;
 
     /// Members that were declared dead.
-    std::vector<member> dead_peers(time_point now) const;
+    std::vector<member> dead_peers() const;
 
     /// Whether the fleet is so large that this instance is probed as well.
     bool is_large() const
--- a/src/members/failure_detector.cpp
+++ b/src/members/failure_detector.cpp
@@ -68,14 +68,14 @@
 {
     const bool look_at_dead = ++probes_made_ % settings_.dead_member_every == 0;
     if (look_at_dead) {
-        const auto dead = members.dead_peers(now);
+        const auto dead = members.dead_peers();
         if (!dead.empty()) {
             actions.emplace_back(send_probe{dead[random_() % dead.size()]});
             return;
         }
     }
     if (order_.empty()) {
-        order_ = members.probed_peers(now);
+        order_ = members.probed_peers();
         std::ranges::shuffle(order_, random_);
     }
     while (!order_.empty()) {
@@ -155,7 +155,7 @@
                                  const member_table& members)
 {
     std::vector<member> result;
-    const auto live = members.probed_peers(*turn_);
+    const auto live = members.probed_peers();
     if (live.empty())
         return result;
     constexpr std::size_t tries_for_each = 3;
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -88,7 +88,7 @@
     return probed ? &peer.who : nullptr;
 }
 
-std::vector<entry_id> member_table::probed_peers(time_point) const
+std::vector<entry_id> member_table::probed_peers() const
 {
     std::vector<entry_id> result;
     for (const auto& [name, peer] : peers_)
@@ -97,7 +97,7 @@
     return result;
 }
 
-std::vector<member> member_table::dead_peers(time_point) const
+std::vector<member> member_table::dead_peers() const
 {
     std::vector<member> result;
     for (const auto& [name, peer] : peers_)
--- a/test/platform/fleet.py
+++ b/test/platform/fleet.py
@@ -319,3 +319,16 @@
         await asyncio.gather(*(
             each.run(routes or self.routes, pause_s, until)
             for each in all_of))
+
+
+def run(scenario, **wanted):
+    """Plays a scenario with a fleet that is ready; no promise may break."""
+
+    async def play():
+        async with Fleet(**wanted) as fleet:
+            await fleet.wait_ready()
+            await scenario(fleet)
+            fleet.truth.check_end()
+            assert fleet.truth.violations == []
+
+    asyncio.run(play())
--- a/test/platform/test_router.py
+++ b/test/platform/test_router.py
@@ -11,20 +11,7 @@
 
 import wire  # noqa: E402
 from caller import ask_directory, get  # noqa: E402
-from fleet import FILES, LOOKUP, ORDER, Fleet, Route  # noqa: E402
-
-
-def run(scenario, **wanted):
-    """Plays a scenario with a fleet that is ready; no promise may break."""
-
-    async def play():
-        async with Fleet(**wanted) as fleet:
-            await fleet.wait_ready()
-            await scenario(fleet)
-            fleet.truth.check_end()
-            assert fleet.truth.violations == []
-
-    asyncio.run(play())
+from fleet import FILES, LOOKUP, ORDER, Route, run  # noqa: E402
 
 
 def test_requests_of_all_kinds_are_served():
--- a/test/platform/test_wishes.py
+++ b/test/platform/test_wishes.py
@@ -8,22 +8,11 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 
-from fleet import FILES, LOOKUP, ORDER, Fleet  # noqa: E402
+from fleet import FILES, LOOKUP, ORDER, run  # noqa: E402
 from touch import DRAIN_S  # noqa: E402
 from wishes import PAUSE_GRACE_S  # noqa: E402
 
 
-def run(scenario, **wanted):
-    async def play():
-        async with Fleet(**wanted) as fleet:
-            await fleet.wait_ready()
-            await scenario(fleet)
-            fleet.truth.check_end()
-            assert fleet.truth.violations == []
-
-    asyncio.run(play())
-
-
 def test_a_target_that_says_it_leaves_gets_nothing_new():
     async def scenario(fleet):
         leaving = fleet.targets_of("stock")[0]
