Tell in logs and metrics which limit a target named to whom

Cause: no line and no counter had a limit, so that the three hypotheses of the incident could not be told apart. Change: the header is read into a typed value or a typed refusal, logged (target_rate_limit, target_rate_limit_not_kept) and counted; nothing is decided by it yet.

--- a/apps/router/languages/platform_language.hpp
+++ b/apps/router/languages/platform_language.hpp
@@ -26,6 +26,7 @@
     std::string not_executed;    ///< the target did not run the request
     std::string load;            ///< load report of a target
     std::string instance_id;     ///< of a target, in answers to probes
+    std::string rate_limit;      ///< requests a second that a target takes
 };
 
 /// What a target says of its state, beside its load.
--- a/apps/router/languages/records_language.cpp
+++ b/apps/router/languages/records_language.cpp
@@ -107,6 +107,7 @@
     result.not_executed = "Not-Run";
     result.load = "Target-Load";
     result.instance_id = "Target-Name";
+    result.rate_limit = "Target-Limit";
     return result;
 }
 
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -63,6 +63,9 @@
                                 "Targets that said they leave, by who told")),
       pauses_(make_counters(registry_, "vanillapost_target_pauses_total",
                             "Pauses that targets asked for")),
+      rate_limits_(
+          make_counters(registry_, "vanillapost_target_rate_limits_total",
+                        "Answers in which targets named a rate limit")),
       bad_answers_(make_counters(registry_, "vanillapost_bad_answers_total",
                                  "What targets sent and is no answer")),
       unrouted_(make_counters(registry_, "vanillapost_unrouted_requests_total",
@@ -144,6 +147,11 @@
     pauses_.Add({{"result", std::string(result)}}).Increment();
 }
 
+void router_metrics::count_rate_limit(std::string_view result)
+{
+    rate_limits_.Add({{"result", std::string(result)}}).Increment();
+}
+
 void router_metrics::count_bad_answer(io::answer_fault fault)
 {
     const auto* kind =
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -41,6 +41,9 @@
     /// A target asked for a pause.
     /// \param result  "kept" or "not_kept"
     void count_pause(std::string_view result);
+    /// A target named a rate limit.
+    /// \param result  "kept" or "not_kept"
+    void count_rate_limit(std::string_view result);
     /// A target sent what is no answer.
     void count_bad_answer(io::answer_fault fault);
     void count_unrouted();
@@ -88,6 +91,7 @@
     prometheus::Family<prometheus::Counter>& probes_;
     prometheus::Family<prometheus::Counter>& departures_;
     prometheus::Family<prometheus::Counter>& pauses_;
+    prometheus::Family<prometheus::Counter>& rate_limits_;
     prometheus::Family<prometheus::Counter>& bad_answers_;
     prometheus::Counter& unrouted_;
     prometheus::Counter& callback_failures_;
--- a/apps/router/targets/condition_recorder.cpp
+++ b/apps/router/targets/condition_recorder.cpp
@@ -14,15 +14,16 @@
 {
 }
 
-void condition_recorder::record(const target_id& target, std::int64_t born,
+void condition_recorder::record(const target_question& asked,
                                 const io::target_answer_head& head)
 {
+    const auto& target = asked.target;
     if (!is_from(target, head))
         return;
     const auto now = loop_.now();
     const auto condition = language_.read_condition(head.headers);
     if (condition.leaving)
-        record_departure(target, born);
+        record_departure(target, asked.born);
     auto* about = known_.placer.find(target);
     if (!about)
         return;
@@ -33,6 +34,10 @@
     const auto pause = io::find_header(head.headers, "Retry-After");
     if (pause && head.status == status_unavailable)
         record_pause(target, *pause);
+    const auto limit =
+        io::find_header(head.headers, language_.headers.rate_limit);
+    if (limit)
+        record_rate_limit(asked, *limit);
 }
 
 // Its address may have gone to another target, which speaks for itself only.
@@ -67,10 +72,8 @@
     const auto asked = parse_pause(header);
     if (const auto* refused = std::get_if<pause_refusal>(&asked)) {
         metrics_.count_pause("not_kept");
-        log_.request(io::log_level::warning, "target_pause_not_kept",
-                     {{"target", target.value},
-                      {"asked", shortened(header)},
-                      {"reason", std::string(to_string(*refused))}});
+        note_not_kept("target_pause_not_kept", target, header,
+                      to_string(*refused));
         return;
     }
     const auto length = std::get<duration>(asked);
@@ -81,4 +84,32 @@
         {{"target", target.value}, {"for_ms", std::to_string(to_ms(length))}});
 }
 
+void condition_recorder::record_rate_limit(const target_question& asked,
+                                           std::string_view header)
+{
+    const auto named = parse_rate_limit(header);
+    if (const auto* refused = std::get_if<rate_limit_refusal>(&named)) {
+        metrics_.count_rate_limit("not_kept");
+        note_not_kept("target_rate_limit_not_kept", asked.target, header,
+                      to_string(*refused));
+        return;
+    }
+    metrics_.count_rate_limit("kept");
+    log_.request(io::log_level::info, "target_rate_limit",
+                 {{"target", asked.target.value},
+                  {"per_second", std::to_string(std::get<double>(named))},
+                  {"told_by", asked.is_probe ? "probe" : "answer"}});
+}
+
+void condition_recorder::note_not_kept(std::string_view event,
+                                       const target_id& target,
+                                       std::string_view header,
+                                       std::string_view reason)
+{
+    log_.request(io::log_level::warning, event,
+                 {{"target", target.value},
+                  {"asked", shortened(header)},
+                  {"reason", std::string(reason)}});
+}
+
 } // namespace vanillapost::router
--- a/apps/router/targets/condition_recorder.hpp
+++ b/apps/router/targets/condition_recorder.hpp
@@ -11,8 +11,16 @@
 
 namespace vanillapost::router {
 
+/// What was asked, where an answer says something of its target.
+struct target_question
+{
+    target_id target;
+    std::int64_t born = 0; ///< of its start when it was asked
+    bool is_probe = false;
+};
+
 /// Takes over what targets say of themselves in the heads of their answers:
-/// that they are cold, leave, or want a pause.
+/// that they are cold, leave, want a pause, or take so many requests a second.
 class condition_recorder
 {
 public:
@@ -25,9 +33,7 @@
                        router_metrics& metrics, router_log& log,
                        departure_handler on_departure);
 
-    /// \param target  that was asked
-    /// \param born    of its start when it was asked
-    void record(const target_id& target, std::int64_t born,
+    void record(const target_question& asked,
                 const io::target_answer_head& head);
 
 private:
@@ -35,6 +41,10 @@
                  const io::target_answer_head& head) const;
     void record_departure(const target_id& target, std::int64_t born);
     void record_pause(const target_id& target, std::string_view header);
+    void record_rate_limit(const target_question& asked,
+                           std::string_view header);
+    void note_not_kept(std::string_view event, const target_id& target,
+                       std::string_view header, std::string_view reason);
 
     io::event_loop& loop_;
     knowledge& known_;
--- a/apps/router/targets/prober.cpp
+++ b/apps/router/targets/prober.cpp
@@ -103,7 +103,7 @@
 bool prober::read_answer(const target_id& target, const probe& ended,
                          target_knowledge& about)
 {
-    conditions_.record(target, ended.born, ended.head);
+    conditions_.record({target, ended.born, true}, ended.head);
     const auto instance =
         io::find_header(ended.head.headers, language_.headers.instance_id);
     const bool is_other = instance && *instance != target.value;
--- a/include/vanillapost/src/base/number_text.hpp
+++ b/include/vanillapost/src/base/number_text.hpp
@@ -25,6 +25,11 @@
     return value;
 }
 
+/// Reads a text of digits with at most one point between or beside them, and a
+/// minus before them if need be. Nothing for other texts; the library's reader
+/// also takes exponents, "inf" and "nan".
+std::optional<double> parse_decimal(std::string_view text);
+
 } // namespace vanillapost
 
 #endif
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -336,6 +336,38 @@
         RC_ASSERT(*asked >= duration::zero() && *asked <= longest_pause);
 }
 
+TEST(RateLimitRequest, TakesADecimalNumberOfRequestsASecond)
+{
+    EXPECT_EQ(std::get<double>(parse_rate_limit("2.8")), 2.8);
+    EXPECT_EQ(std::get<double>(parse_rate_limit("40")), 40);
+    EXPECT_EQ(std::get<double>(parse_rate_limit(".5")), 0.5);
+    EXPECT_EQ(std::get<double>(parse_rate_limit("0")), 0);
+    EXPECT_FALSE(std::signbit(std::get<double>(parse_rate_limit("-0"))));
+    const auto tiny = "0." + std::string(400, '0') + "1";
+    EXPECT_EQ(std::get<double>(parse_rate_limit(tiny)), 0);
+}
+
+TEST(RateLimitRequest, RefusesWhatMakesNoSenseWithAReason)
+{
+    const auto why = [](std::string_view text) {
+        return std::get<rate_limit_refusal>(parse_rate_limit(text));
+    };
+    for (const auto* text : {"", " ", "few", "1e3", "nan", "inf", "0x10",
+                             "1.2.3", ".", "2/s", "2,8", "+1", "--1"})
+        EXPECT_EQ(why(text), rate_limit_refusal::not_decimal) << text;
+    EXPECT_EQ(why("-0.1"), rate_limit_refusal::negative);
+    for (const auto& text : {std::string("1000001"), std::string(400, '9')})
+        EXPECT_EQ(why(text), rate_limit_refusal::too_high) << text;
+}
+
+RC_GTEST_PROP(RateLimitRequest, IsWithinBoundsOrARefusalForAnyBytes,
+              (const std::string& text))
+{
+    const auto parsed = parse_rate_limit(text);
+    if (const auto* named = std::get_if<double>(&parsed))
+        RC_ASSERT(*named >= 0 && *named <= highest_rate_limit);
+}
+
 TEST(Placement, AFailingTargetIsAvoidedAndTriedAgainLater)
 {
     placed p({"a", "b"});
