Show with tests that limits of targets are not kept

Cause: the header decides nothing. The stand-in target names limits; the judge checks the users' rule, and counts routers that peers have had the time to tell as well, over restarts and lost news.

--- a/test/platform/faults.py
+++ b/test/platform/faults.py
@@ -149,9 +149,11 @@
 
     async def cut(self, ways):
         relay = self.fleet.relay
-        relay.cut |= ways
-        await self.pause(0.5, 4)
-        relay.cut -= ways
+        ends = {self.fleet.routers[i].front for way in ways for i in way}
+        with self.touch.lasting(*(self.touch.apart[end] for end in ends)):
+            relay.cut |= ways
+            await self.pause(0.5, 4)
+            relay.cut -= ways
 
     async def cut_one_way(self):
         from_one = self.random.randrange(len(self.fleet.routers))
--- a/test/platform/target.py
+++ b/test/platform/target.py
@@ -61,7 +61,8 @@
     `odd` is the share of nonsense in load headers and health answers. With
     `refuses` it says when it is full, and without it is silent then. With
     `leaves` all its answers say so, and with `pause` it turns all requests
-    away and asks for that time (the text of the header).
+    away and asks for that time (the text of the header). `name_limit` has its
+    answers name the requests a second that it takes.
     """
 
     def __init__(self, name, service, zone, store, truth, random, slots=2,
@@ -81,6 +82,8 @@
         self.refuses = False
         self.leaves = False
         self.pause = None
+        self.limit = None
+        self.limit_in_probes = False
         self.probes = 0
         self.draining = False
         self.cold_until = 0.0
@@ -112,6 +115,7 @@
         """A new incarnation under the same id."""
         self.born = int(time.time() * 1000)
         self._sequence = 0
+        self.name_limit(None)
         self._truth.wishes.forget(self.id)
 
     def reset_connections(self, share=1.0):
@@ -171,14 +175,28 @@
             if not work.result():
                 return
 
+    def name_limit(self, limit, in_probes=False):
+        """A number, a text that is none, or nothing from now on."""
+        self.limit = limit
+        self.limit_in_probes = in_probes
+        number = None if isinstance(limit, str) else limit
+        self._truth.wishes.limits.note(self.id, number, time.monotonic())
+
     def _wishes(self, attempt_id):
         """Headers for what it asks of the router that sent the request."""
-        if not self.leaves:
-            return []
-        if asked := self._truth.asked.get(attempt_id):
-            self._truth.wishes.note_leaves(asked.router, self.id,
-                                           time.monotonic())
-        return [("Server-Leaving", "1")]
+        headers = []
+        now = time.monotonic()
+        asked = self._truth.asked.get(attempt_id)
+        if self.leaves:
+            headers.append(("Server-Leaving", "1"))
+            if asked:
+                self._truth.wishes.note_leaves(asked.router, self.id, now)
+        if self.limit is not None and (asked or self.limit_in_probes):
+            headers.append(("Server-Limit", self.limit))
+            if asked:
+                self._truth.wishes.limits.note_told(asked.router, self.id,
+                                                    now)
+        return headers
 
     def _turn_away(self, attempt_id, writer):
         asked = self._truth.asked.get(attempt_id)
--- a/test/platform/touch.py
+++ b/test/platform/touch.py
@@ -51,6 +51,7 @@
     def __init__(self):
         self.machine = defaultdict(Spans)  # (1): kills, starts, freezes, loss
         self.path = defaultdict(Spans)  # (3): no way to the store
+        self.apart = defaultdict(Spans)  # cut off from other routers
         self.core = Spans()  # (2): any disruption of the store
         self.core_down = Spans()  # down, slow, or losing answers
         self.frozen = defaultdict(Spans)
--- a/test/platform/wishes.py
+++ b/test/platform/wishes.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 
+from limits import Limits
 from touch import DRAIN_S
 
 PAUSE_GRACE_S = 0.5  # a request may be on its way while a pause is asked for
@@ -15,6 +16,7 @@
         self._left = {}  # (router, target): when it said that it leaves
         self._pauses = defaultdict(list)  # (router, target): [begin, end]
         self._arrivals = defaultdict(list)  # (router, target): Asked, when
+        self.limits = Limits(touch, broken)
 
     def note_leaves(self, router, target, at):
         self._left.setdefault((router, target), at)
@@ -30,6 +32,7 @@
         for told in (self._left, self._pauses):
             for key in [k for k in told if k[1] == target]:
                 del told[key]
+        self.limits.forget(target)
 
     def _excused(self, router, since, at):
         return self._touch.machine[router].meets(since, at)
@@ -53,6 +56,12 @@
                                  f"{target} from {router} in a pause of "
                                  f"{end - begin:.2f} s")
 
+        self.limits.check(self.arrivals_of)
+
+    def arrivals_of(self, target):
+        """Requests that reached a target, and when."""
+        return [each for (_, t), seen in self._arrivals.items()
+                if t == target for each in seen]
+
     def arrivals(self, target, begin, end):
-        return [a for (_, t), seen in self._arrivals.items() if t == target
-                for a, at in seen if begin < at < end]
+        return [a for a, at in self.arrivals_of(target) if begin < at < end]
