Keep the rates that targets name, over all instances together

What targets saw: one that named 2.8 requests a second got 27 in four seconds from instances that it had told. Cause: the header was not read.

Class: a bound on what all instances send together, of which each knows only what it sends itself. Cold targets had the same, so there is one mechanism now: what a target takes is a time from which this instance may send to it (next_turn), out of its pause, its start and its limit. A bounded rate is shared by owners (rate_share, which was the cold targets' pacer): by hash over the members, about one request a second each; who takes over a part, or learns of a limit, waits for an interval first. Limits are known to all (rate_limits): told at once when first named, repaired by what heartbeats and probes carry, by versions, so that order, loss and doubles do not matter; a starting instance is told by the peer that it asks for the state. A limit is of one start and ends by an answer to a request that went out after it was known. An instance that leaves gives its parts up. Where no target takes more for longer than a request waits, it is refused at once, with the time of the first that does.

Ruled out: ending limits after silence (a target that gets nothing would get all at the next burst); ordering news by time (frozen instances' clocks stand).

Also: departure_notes and rate_limits share one bounded map of starts.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -58,6 +58,8 @@
       departures_(
           loop, known, metrics, log, random_engine(random_()),
           [this](const json& message) { send_to_peers("departure", message); }),
+      limits_(loop, known, log,
+              [this](const json& message) { send_to_peers("limit", message); }),
       watch_(loop, known, metrics, log, random_engine(random_()),
              {[this](const member& to) { send_probe_to(to); },
               [this](const member& to, const json& message) {
@@ -221,31 +223,47 @@
 
 void peer_controller::send_heartbeat_once()
 {
-    send_to_peers("heartbeat", {{"heartbeat", to_json(make_heartbeat())}});
+    send_to_peers("heartbeat", make_message());
 }
 
-void peer_controller::send_probe_to(const member& to)
+// A heartbeat, with some of what peers may have missed.
+json peer_controller::make_message()
+{
+    json message = {{"heartbeat", to_json(make_heartbeat())}};
+    limits_.add_to(message);
+    return message;
+}
+
+json peer_controller::make_message_with_view()
 {
     auto heartbeat = make_heartbeat();
     heartbeat.view = known_.members.view(loop_.now());
-    send("probe", to,
-         write_message({{"heartbeat", to_json(heartbeat)}, {"probe", true}}));
+    json message = {{"heartbeat", to_json(heartbeat)}};
+    limits_.add_to(message);
+    return message;
+}
+
+void peer_controller::send_probe_to(const member& to)
+{
+    auto message = make_message_with_view();
+    message["probe"] = true;
+    send("probe", to, write_message(message));
 }
 
 // To who probed this instance.
 void peer_controller::send_sign_of_life(const io::address& to, bool held_dead)
 {
-    auto heartbeat = make_heartbeat();
-    heartbeat.view = known_.members.view(loop_.now());
-    socket_.send(to, write_message({{"heartbeat", to_json(heartbeat)},
-                                    {"held_dead", held_dead}}));
+    auto message = make_message_with_view();
+    message["held_dead"] = held_dead;
+    socket_.send(to, write_message(message));
 }
 
 void peer_controller::send_hello(const io::address& to, bool ask)
 {
-    socket_.send(to, write_message({{"hello", to_json(known_.members.self())},
-                                    {"heartbeat", to_json(make_heartbeat())},
-                                    {"ask", ask}}));
+    auto message = make_message();
+    message["hello"] = to_json(known_.members.self());
+    message["ask"] = ask;
+    socket_.send(to, write_message(message));
 }
 
 // Members that this instance was only told of do not know it yet.
@@ -314,6 +332,7 @@
 
 void peer_controller::take_message(const io::address& from, const json& message)
 {
+    limits_.take(message, from.ip);
     if (message.contains("hello")) {
         take_hello(from, message);
         return;
@@ -326,6 +345,8 @@
         departures_.take(message);
         return;
     }
+    if (rate_limit_relay::is_for_it(message))
+        return;
     if (member_watch::is_for_it(message)) {
         watch_.take(message);
         return;
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -4,6 +4,7 @@
 #include "peers/change_relay.hpp"
 #include "peers/departure_relay.hpp"
 #include "peers/member_watch.hpp"
+#include "peers/rate_limit_relay.hpp"
 #include "peers/state_question.hpp"
 #include "reporting/router_log.hpp"
 #include "state/knowledge.hpp"
@@ -50,6 +51,12 @@
         departures_.on_told(id, born);
     }
 
+    /// A target told this instance something new of the rate that it takes.
+    void on_rate_limit(const target_id& id, rate_limit_news news)
+    {
+        limits_.on_told(id, news);
+    }
+
 private:
     void join();
     void beat();
@@ -76,6 +83,8 @@
     void compare_view(const member_heartbeat& heartbeat);
     void keep_member_list();
     member_heartbeat make_heartbeat() const;
+    nlohmann::json make_message();
+    nlohmann::json make_message_with_view();
     duration interval() const;
     bool is_seed() const;
 
@@ -87,6 +96,7 @@
     random_engine random_;
     io::datagram_socket socket_;
     departure_relay departures_;
+    rate_limit_relay limits_;
     member_watch watch_;
     change_relay changes_;
     state_question question_;
--- /dev/null
+++ b/apps/router/peers/rate_limit_relay.cpp
@@ -0,0 +1,51 @@
+#include "peers/rate_limit_relay.hpp"
+
+#include "state/rate_limit_messages.hpp"
+
+namespace vanillapost::router {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* field = "limits";
+/// With the rest of a heartbeat it fits into a packet on its way.
+constexpr std::size_t max_bytes = 600;
+
+} // namespace
+
+rate_limit_relay::rate_limit_relay(io::event_loop& loop, knowledge& known,
+                                   router_log& log, send_handler send_to_all)
+    : loop_(loop), known_(known), log_(log),
+      send_to_all_(std::move(send_to_all))
+{
+}
+
+void rate_limit_relay::on_told(const target_id& id, rate_limit_news news)
+{
+    if (news != rate_limit_news::named)
+        return;
+    if (const auto note = known_.targets.limits().note_of(id))
+        send_to_all_({{field, format_rate_limits({&*note, 1})}});
+}
+
+void rate_limit_relay::add_to(json& message)
+{
+    const auto notes =
+        known_.targets.limits().next_to_tell(max_bytes, loop_.now());
+    if (!notes.empty())
+        message[field] = format_rate_limits(notes);
+}
+
+bool rate_limit_relay::is_for_it(const json& message)
+{
+    return message.contains(field);
+}
+
+void rate_limit_relay::take(const json& message, std::string_view peer)
+{
+    if (message.contains(field))
+        take_rate_limits(message.at(field), peer, known_, log_, loop_.now());
+}
+
+} // namespace vanillapost::router
--- a/apps/router/reporting/router_log.cpp
+++ b/apps/router/reporting/router_log.cpp
@@ -27,6 +27,16 @@
     io::log(level, event, fields);
 }
 
+void router_log::rate_limit(const target_id& target,
+                            std::optional<double> per_second,
+                            std::string_view told_by)
+{
+    request(io::log_level::info, "target_rate_limit",
+            {{"target", target.value},
+             {"per_second", per_second ? std::to_string(*per_second) : "none"},
+             {"told_by", std::string(told_by)}});
+}
+
 void router_log::state(io::log_level level, std::string_view event,
                        std::initializer_list<io::log_field> fields)
 {
--- a/apps/router/reporting/router_log.hpp
+++ b/apps/router/reporting/router_log.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 
 namespace vanillapost::router {
 
@@ -26,6 +27,11 @@
     void request(io::log_level level, std::string_view event,
                  std::initializer_list<io::log_field> fields);
 
+    /// A target takes another rate, or any number of requests again.
+    /// \param told_by  "answer", "probe" or "a peer"
+    void rate_limit(const target_id& target, std::optional<double> per_second,
+                    std::string_view told_by);
+
     /// A line that is always written: start, stop, a lost dependency.
     void state(io::log_level level, std::string_view event,
                std::initializer_list<io::log_field> fields = {});
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -102,7 +102,8 @@
     from.head = std::move(head);
     // At once: a streamed answer ends much later, and one that is given up on
     // never does.
-    context_.conditions.record({from.target, from.born, false}, from.head);
+    context_.conditions.record({from.target, from.born, false, from.sent_at},
+                               from.head);
     const auto outcome = judge_answer(from.head, context_.language.headers);
     // Its body would be of no use, and may have no end.
     if (std::holds_alternative<attempt_lost>(outcome)) {
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -4,15 +4,18 @@
 
 namespace vanillapost::router {
 
-request_engine::request_engine(
-    io::event_loop& loop, knowledge& known, const platform_language& language,
-    const router_settings& settings, router_metrics& metrics, router_log& log,
-    std::function<bool()> knows_newest,
-    condition_recorder::departure_handler on_departure, random_engine random)
+request_engine::request_engine(io::event_loop& loop, knowledge& known,
+                               const platform_language& language,
+                               const router_settings& settings,
+                               router_metrics& metrics, router_log& log,
+                               std::function<bool()> knows_newest,
+                               condition_handlers on_conditions,
+                               random_engine random)
     : loop_(loop), known_(known), language_(language), metrics_(metrics),
       log_(log), knows_newest_(std::move(knows_newest)), random_(random),
       connections_(loop, known, language),
-      conditions_(loop, known, language, metrics, log, std::move(on_departure)),
+      conditions_(loop, known, language, metrics, log,
+                  std::move(on_conditions)),
       probes_(loop, known, language, connections_, conditions_, metrics, log,
               [this](std::uint64_t waiter, const target_id& target) {
                   on_measured(waiter, target);
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -16,8 +16,7 @@
                    const platform_language& language,
                    const router_settings& settings, router_metrics& metrics,
                    router_log& log, std::function<bool()> knows_newest,
-                   condition_recorder::departure_handler on_departure,
-                   random_engine random);
+                   condition_handlers on_conditions, random_engine random);
 
     /// Requests with a booking key are claimed there from now on.
     void set_claims(booking_claims& claims);
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -134,8 +134,8 @@
         wait_for_slot({full->until_room});
         return;
     }
-    const auto& pause = std::get<no_target>(decision).until_usable;
-    wait_for_slot(pause ? return_estimate{*pause, true} : return_estimate{});
+    const auto& turn = std::get<no_target>(decision).until_usable;
+    wait_for_slot(turn ? return_estimate{*turn, true} : return_estimate{});
 }
 
 void request_task::wait_for_slot(const return_estimate& room)
@@ -147,7 +147,7 @@
         return;
     }
     if (room.is_earliest && now + room.wait > waits_until) {
-        give_up(status_bad_gateway, "all targets have asked for a pause", room);
+        give_up(status_bad_gateway, "no target takes more now", room);
         return;
     }
     if (now >= waits_until) {
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -54,9 +54,12 @@
       engine_(
           loop, known_, language_, settings, metrics_, log_,
           [this] { return state_.knows_newest(); },
-          [this](const target_id& id, std::int64_t born) {
-              peers_.on_target_leaving(id, born);
-          },
+          {[this](const target_id& id, std::int64_t born) {
+               peers_.on_target_leaving(id, born);
+           },
+           [this](const target_id& id, rate_limit_news news) {
+               peers_.on_rate_limit(id, news);
+           }},
           random_engine(random_())),
       directory_(loop, known_, state_, language_, metrics_.registry(),
                  settings.answer_lifetime, random_engine(random_())),
@@ -156,6 +159,7 @@
                {{"in_flight", std::to_string(engine_.in_flight())}});
     directory_.set_ready(false);
     callers_.announce_close();
+    known_.leave(*leaving_since_);
     peers_.leave();
 }
 
--- a/apps/router/state/knowledge.cpp
+++ b/apps/router/state/knowledge.cpp
@@ -39,13 +39,43 @@
 
 void knowledge::refresh_members(time_point now)
 {
-    const auto& self = members.self();
-    std::vector<owner_candidate> owners{{self.name, self.data_centre}};
+    std::vector<owner_candidate> owners;
     for (const auto& peer : members.ready_peers(now))
         owners.push_back({peer.name, peer.data_centre});
+    const auto& self = members.self();
+    if (!leaving_ || owners.empty())
+        owners.push_back({self.name, self.data_centre});
     placer.set_members(std::move(owners));
 }
 
+void knowledge::leave(time_point now)
+{
+    leaving_ = true;
+    refresh_members(now);
+}
+
+rate_limit_news knowledge::on_told_rate_limit(const target_id& target,
+                                              std::int64_t born,
+                                              std::optional<double> per_second,
+                                              time_point asked_at,
+                                              time_point now)
+{
+    const auto news =
+        targets.on_told_rate_limit(target, born, per_second, asked_at, now);
+    if (news != rate_limit_news::none)
+        placer.refresh(target, targets, now);
+    return news;
+}
+
+bool knowledge::on_peer_told_rate_limit(const rate_limit_note& told,
+                                        time_point now)
+{
+    const bool is_new = targets.on_peer_told_rate_limit(told, now);
+    if (is_new)
+        placer.refresh(told.target, targets, now);
+    return is_new;
+}
+
 std::map<service_id, double> knowledge::cold_rates() const
 {
     std::map<service_id, double> result;
--- a/apps/router/state/knowledge.hpp
+++ b/apps/router/state/knowledge.hpp
@@ -27,6 +27,21 @@
     /// After changes of `members`.
     void refresh_members(time_point now);
 
+    /// This instance ends: its parts of targets' rates go to others, if there
+    /// are any.
+    void leave(time_point now);
+
+    /// An answer's word on the rate that its target takes.
+    /// \see rate_limits::on_told
+    rate_limit_news on_told_rate_limit(const target_id& target,
+                                       std::int64_t born,
+                                       std::optional<double> per_second,
+                                       time_point asked_at, time_point now);
+
+    /// What a peer knows of it.
+    /// \return whether it was new
+    bool on_peer_told_rate_limit(const rate_limit_note& told, time_point now);
+
     /// Whether requests can be routed at all.
     bool is_configured() const
     {
@@ -47,6 +62,7 @@
     std::map<service_id, double> cold_rates() const;
 
     route_table routes_;
+    bool leaving_ = false;
 };
 
 } // namespace vanillapost::router
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -1,5 +1,7 @@
 #include "state/state_controller.hpp"
 
+#include "state/rate_limit_messages.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -172,7 +174,10 @@
     targets.after_outage = known_.targets.is_relisting(loop_.now());
     return {{"operators", to_message(operators_.state.since(known.operators))},
             {"targets", to_message(targets)},
-            {"members", with_members ? tell_members() : json::array()}};
+            {"members", with_members ? tell_members() : json::array()},
+            {"limits", with_members
+                           ? format_rate_limits(known_.targets.limits().all())
+                           : json::array()}};
 }
 
 void state_controller::merge(const json& difference, std::string_view peer)
@@ -183,6 +188,10 @@
         merge(shared_table::targets,
               parse_state_difference(difference.at("targets")), peer);
         add_listed_members(difference.at("members"));
+        // Peers of earlier versions tell none.
+        if (difference.contains("limits"))
+            take_rate_limits(difference.at("limits"), peer, known_, log_,
+                             loop_.now());
     } catch (const json::exception& failure) {
         throw error("read state", "", failure.what());
     }
--- a/apps/router/targets/condition_recorder.cpp
+++ b/apps/router/targets/condition_recorder.cpp
@@ -8,9 +8,9 @@
 condition_recorder::condition_recorder(io::event_loop& loop, knowledge& known,
                                        const platform_language& language,
                                        router_metrics& metrics, router_log& log,
-                                       departure_handler on_departure)
+                                       condition_handlers handlers)
     : loop_(loop), known_(known), language_(language), metrics_(metrics),
-      log_(log), on_departure_(std::move(on_departure))
+      log_(log), handlers_(std::move(handlers))
 {
 }
 
@@ -34,10 +34,7 @@
     const auto pause = io::find_header(head.headers, "Retry-After");
     if (pause && head.status == status_unavailable)
         record_pause(target, *pause);
-    const auto limit =
-        io::find_header(head.headers, language_.headers.rate_limit);
-    if (limit)
-        record_rate_limit(asked, *limit);
+    record_rate_limit(asked, head);
 }
 
 // Its address may have gone to another target, which speaks for itself only.
@@ -63,7 +60,7 @@
                  {{"target", target.value}, {"told_by", "itself"}});
     const auto* record = known_.targets.find(target);
     if (record && !record->draining)
-        on_departure_(target, born);
+        handlers_.on_departure(target, born);
 }
 
 void condition_recorder::record_pause(const target_id& target,
@@ -85,20 +82,40 @@
 }
 
 void condition_recorder::record_rate_limit(const target_question& asked,
-                                           std::string_view header)
+                                           const io::target_answer_head& head)
 {
-    const auto named = parse_rate_limit(header);
+    const auto header =
+        io::find_header(head.headers, language_.headers.rate_limit);
+    if (!header) {
+        // Health checks and refusals may leave it out at any time.
+        const bool ends =
+            !asked.is_probe && std::holds_alternative<attempt_answered>(
+                                   judge_answer(head, language_.headers));
+        if (ends)
+            record_rate(asked, std::nullopt);
+        return;
+    }
+    const auto named = parse_rate_limit(*header);
     if (const auto* refused = std::get_if<rate_limit_refusal>(&named)) {
         metrics_.count_rate_limit("not_kept");
-        note_not_kept("target_rate_limit_not_kept", asked.target, header,
+        note_not_kept("target_rate_limit_not_kept", asked.target, *header,
                       to_string(*refused));
         return;
     }
     metrics_.count_rate_limit("kept");
-    log_.request(io::log_level::info, "target_rate_limit",
-                 {{"target", asked.target.value},
-                  {"per_second", std::to_string(std::get<double>(named))},
-                  {"told_by", asked.is_probe ? "probe" : "answer"}});
+    record_rate(asked, std::get<double>(named));
+}
+
+void condition_recorder::record_rate(const target_question& asked,
+                                     std::optional<double> per_second)
+{
+    const auto news = known_.on_told_rate_limit(
+        asked.target, asked.born, per_second, asked.asked_at, loop_.now());
+    if (news == rate_limit_news::none)
+        return;
+    log_.rate_limit(asked.target, per_second,
+                    asked.is_probe ? "probe" : "answer");
+    handlers_.on_rate_limit(asked.target, news);
 }
 
 void condition_recorder::note_not_kept(std::string_view event,
--- a/apps/router/targets/condition_recorder.hpp
+++ b/apps/router/targets/condition_recorder.hpp
@@ -17,6 +17,16 @@
     target_id target;
     std::int64_t born = 0; ///< of its start when it was asked
     bool is_probe = false;
+    time_point asked_at{};
+};
+
+/// What peers have to hear of.
+struct condition_handlers
+{
+    /// A target told this instance first that it leaves.
+    std::function<void(const target_id&, std::int64_t born)> on_departure;
+    /// A target told this instance something new of the rate that it takes.
+    std::function<void(const target_id&, rate_limit_news)> on_rate_limit;
 };
 
 /// Takes over what targets say of themselves in the heads of their answers:
@@ -24,14 +34,10 @@
 class condition_recorder
 {
 public:
-    using departure_handler =
-        std::function<void(const target_id&, std::int64_t born)>;
-
-    /// \param on_departure  a target told this instance first that it leaves
     condition_recorder(io::event_loop& loop, knowledge& known,
                        const platform_language& language,
                        router_metrics& metrics, router_log& log,
-                       departure_handler on_departure);
+                       condition_handlers handlers);
 
     void record(const target_question& asked,
                 const io::target_answer_head& head);
@@ -42,7 +48,9 @@
     void record_departure(const target_id& target, std::int64_t born);
     void record_pause(const target_id& target, std::string_view header);
     void record_rate_limit(const target_question& asked,
-                           std::string_view header);
+                           const io::target_answer_head& head);
+    void record_rate(const target_question& asked,
+                     std::optional<double> per_second);
     void note_not_kept(std::string_view event, const target_id& target,
                        std::string_view header, std::string_view reason);
 
@@ -51,7 +59,7 @@
     const platform_language& language_;
     router_metrics& metrics_;
     router_log& log_;
-    departure_handler on_departure_;
+    condition_handlers handlers_;
 };
 
 } // namespace vanillapost::router
--- a/apps/router/targets/prober.cpp
+++ b/apps/router/targets/prober.cpp
@@ -61,6 +61,7 @@
 void prober::start(const listed_target& target, probe& made)
 {
     made.born = target.born_ms;
+    made.sent_at = loop_.now();
     const auto* service = known_.routes().service(target.service);
     const std::string path = service ? service->health_path : "/health";
     io::target_call_request request;
@@ -103,7 +104,7 @@
 bool prober::read_answer(const target_id& target, const probe& ended,
                          target_knowledge& about)
 {
-    conditions_.record({target, ended.born, true}, ended.head);
+    conditions_.record({target, ended.born, true, ended.sent_at}, ended.head);
     const auto instance =
         io::find_header(ended.head.headers, language_.headers.instance_id);
     const bool is_other = instance && *instance != target.value;
--- a/apps/router/targets/prober.hpp
+++ b/apps/router/targets/prober.hpp
@@ -39,6 +39,7 @@
     struct probe
     {
         std::int64_t born = 0; ///< of the start that is asked
+        time_point sent_at{};
         std::unique_ptr<io::target_call> call;
         std::unique_ptr<io::timer> limit;
         std::set<std::uint64_t> waiters;
--- a/include/vanillapost/placement.hpp
+++ b/include/vanillapost/placement.hpp
@@ -5,11 +5,11 @@
 /// what instances know of targets from answers and probes.
 
 #include "src/placement/attempt_progress.hpp"
-#include "src/placement/cold_share.hpp"
 #include "src/placement/load_report.hpp"
 #include "src/placement/pause_request.hpp"
 #include "src/placement/placement_request.hpp"
 #include "src/placement/rate_limit_request.hpp"
+#include "src/placement/rate_share.hpp"
 #include "src/placement/target_knowledge.hpp"
 #include "src/placement/target_placer.hpp"
 
--- a/include/vanillapost/src/placement/placement_request.hpp
+++ b/include/vanillapost/src/placement/placement_request.hpp
@@ -20,7 +20,7 @@
     std::vector<target_id> tried; ///< that are not to be chosen again
 };
 
-/// Send it there. Takes the turn of a cold target.
+/// Send it there. Takes a turn of a target that takes a bounded rate.
 struct place_on
 {
     target_id target;
@@ -42,7 +42,8 @@
 /// No target can be used at all.
 struct no_target
 {
-    /// Until the first of them can, where all have asked for a pause.
+    /// Until the first of them takes a request again, where each has said when
+    /// or how much it takes: by a pause, its start or a rate limit.
     std::optional<duration> until_usable;
 };
 
--- a/include/vanillapost/src/placement/target_placer.hpp
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -3,8 +3,8 @@
 
 #include "../base/random.hpp"
 #include "../targets/target_catalog.hpp"
-#include "cold_share.hpp"
 #include "placement_request.hpp"
+#include "rate_share.hpp"
 #include "target_knowledge.hpp"
 
 #include <functional>
@@ -68,7 +68,7 @@
     void update(const target_catalog& catalog,
                 const std::map<service_id, double>& cold_rates, time_point now);
 
-    /// The members among which cold targets are divided.
+    /// The members among which targets that take a bounded rate are divided.
     void set_members(std::vector<owner_candidate> members);
 
     placement_decision choose(const placement_request& request,
@@ -93,14 +93,13 @@
     {
         listed_target record;
         target_knowledge knowledge;
-        cold_pacer pacer;
-        double cold_rate = 0;
+        /// Of the rate that it takes now, where that is bounded. Made on use:
+        /// there are many targets and few such.
+        mutable rate_share share;
+        double cold_rate = 0;             ///< while it is cold
+        std::optional<double> rate_limit; ///< that it has named
         double preference = 0; ///< of this instance; 0 is the most preferred
         bool usable = false;
-        /// Of it while it is cold, and of which members. Made on use: there are
-        /// many targets and few cold ones.
-        mutable std::vector<entry_id> owners;
-        mutable std::uint64_t owners_of_members = 0;
     };
 
     struct candidate
@@ -121,8 +120,9 @@
     void drop_remote(std::vector<candidate>& order) const;
     bool may_use(entry& each, const placement_request& request,
                  time_point now) const;
-    const std::vector<entry_id>& owners(const entry& each) const;
-    bool owns(const entry& each) const;
+    std::optional<double> rate_bound(const entry& each, time_point now) const;
+    std::optional<time_point> next_turn(const entry& each,
+                                        time_point now) const;
     bool has_cold_slot(const entry& each, int cold_slots, time_point now) const;
     bool is_first_owner(const entry& each) const;
     bool must_recheck(const entry& each, time_point now) const;
@@ -132,8 +132,13 @@
     bool may_crowd(const candidate& each, const placement_effort& effort,
                    time_point now) const;
     std::vector<target_id> stale(std::span<const candidate> order) const;
-    std::optional<duration> shortest_pause(const service_id& service,
-                                           time_point now) const;
+    duration others_turn(const entry& each, time_point now) const;
+    std::optional<duration> first_turn(const service_id& service,
+                                       time_point now) const;
+    void take_record(entry& each, const listed_target& record,
+                     const target_catalog& catalog, time_point now) const;
+    void take_rate_limit(entry& each, std::optional<double> limit,
+                         time_point now) const;
     void list_usable(const service_id& service);
     std::vector<target_id> suspects(const placement_request& request,
                                     time_point now) const;
@@ -142,8 +147,7 @@
     random_engine random_;
     std::map<target_id, entry> targets_;
     std::map<service_id, std::vector<entry*>> services_;
-    std::vector<owner_candidate> members_;
-    std::uint64_t members_version_ = 1;
+    rate_owner_view view_;
 };
 
 } // namespace vanillapost
--- a/include/vanillapost/src/targets/departure_notes.hpp
+++ b/include/vanillapost/src/targets/departure_notes.hpp
@@ -3,10 +3,10 @@
 
 #include "../base/identifier.hpp"
 #include "../base/time.hpp"
+#include "detail/start_notes.hpp"
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 
 namespace vanillapost {
@@ -45,7 +45,7 @@
 
     std::size_t size() const
     {
-        return notes_.size();
+        return notes_.all().size();
     }
 
     /// A peer may be wrong, or speak of a start that is over.
@@ -65,10 +65,7 @@
         std::int64_t newest_born() const;
     };
 
-    note& note_of(const target_id& id);
-    void forget_earliest(const target_id& kept);
-
-    std::map<target_id, note> notes_;
+    detail::start_notes<note, max_notes> notes_;
 };
 
 } // namespace vanillapost
--- a/include/vanillapost/src/targets/target_catalog.hpp
+++ b/include/vanillapost/src/targets/target_catalog.hpp
@@ -3,6 +3,7 @@
 
 #include "departure_notes.hpp"
 #include "listed_target.hpp"
+#include "rate_limits.hpp"
 
 #include <map>
 #include <optional>
@@ -57,6 +58,32 @@
     bool on_peer_told_leaving(const target_id& id, std::int64_t born,
                               time_point now);
 
+    /// What an answer of a target says of the rate that it takes.
+    /// \see rate_limits::on_told
+    rate_limit_news on_told_rate_limit(const target_id& id, std::int64_t born,
+                                       std::optional<double> per_second,
+                                       time_point asked_at, time_point now)
+    {
+        return limits_.on_told(id, born, per_second, asked_at, now);
+    }
+
+    /// What a peer knows of it. Only of a start that is listed: a peer cannot
+    /// fill the memory of others.
+    /// \return whether it was new
+    bool on_peer_told_rate_limit(const rate_limit_note& told, time_point now);
+
+    /// Requests a second that a target takes from all instances, if it has
+    /// named a limit.
+    std::optional<double> rate_limit(const listed_target& record) const
+    {
+        return limits_.find(record.id, record.born_ms);
+    }
+
+    rate_limits& limits()
+    {
+        return limits_;
+    }
+
     /// Carries out the removals that are due; returns whether there were any.
     bool advance(time_point now);
 
@@ -85,6 +112,7 @@
     std::map<target_id, time_point> removals_; ///< when each is due
     std::set<data_centre_id> evacuated_;
     departure_notes departures_;
+    rate_limits limits_;
     std::optional<time_point> list_back_;
 };
 
--- a/include/vanillapost/targets.hpp
+++ b/include/vanillapost/targets.hpp
@@ -5,6 +5,8 @@
 
 #include "src/targets/departure_notes.hpp"
 #include "src/targets/listed_target.hpp"
+#include "src/targets/rate_limit_note.hpp"
+#include "src/targets/rate_limits.hpp"
 #include "src/targets/target_catalog.hpp"
 
 #endif
--- /dev/null
+++ b/src/placement/rate_share.cpp
@@ -0,0 +1,99 @@
+#include "vanillapost/src/placement/rate_share.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace vanillapost {
+
+namespace {
+
+constexpr double fewest_owners = 2;
+/// More than any fleet has.
+constexpr double most_owners = 10'000;
+/// Keeps the owners' sum under the rate although timers fire late and early.
+constexpr double spacing_margin = 1.05;
+/// A target that names less, or nothing at all, still gets so many requests a
+/// second: only its answers tell when it takes more again.
+constexpr double lowest_rate = 0.1;
+constexpr double micros_per_second = 1e6;
+
+struct ranked
+{
+    bool remote;
+    std::uint64_t weight;
+    const owner_candidate* candidate;
+};
+
+} // namespace
+
+std::size_t rate_owner_count(double per_second)
+{
+    const double wanted =
+        std::clamp(std::floor(per_second), fewest_owners, most_owners);
+    return static_cast<std::size_t>(wanted);
+}
+
+std::vector<entry_id> rate_owners(const target_id& target,
+                                  const data_centre_id& data_centre,
+                                  std::span<const owner_candidate> members,
+                                  std::size_t count)
+{
+    std::vector<ranked> order;
+    for (const auto& member : members) {
+        const auto text = target.value + '\n' + member.name.value;
+        order.push_back({member.data_centre != data_centre,
+                         XXH64(text.data(), text.size(), 0), &member});
+    }
+    std::ranges::sort(order, [](const ranked& one, const ranked& other) {
+        if (one.remote != other.remote)
+            return !one.remote;
+        return one.weight > other.weight;
+    });
+    std::vector<entry_id> owners;
+    for (const auto& each : order) {
+        if (owners.size() == count)
+            break;
+        owners.push_back(each.candidate->name);
+    }
+    return owners;
+}
+
+duration rate_share::interval(double per_second) const
+{
+    const double rate = std::max(per_second, lowest_rate);
+    const auto owners = static_cast<double>(owners_);
+    return duration(static_cast<duration::rep>(micros_per_second *
+                                               spacing_margin * owners / rate));
+}
+
+std::optional<time_point>
+rate_share::next_turn(const target_id& target,
+                      const data_centre_id& data_centre, double per_second,
+                      const rate_owner_view& view, time_point now)
+{
+    const auto count = rate_owner_count(per_second);
+    if (view_version_ != view.version || wanted_owners_ != count)
+        look_at_owners(target, data_centre, count, view, now);
+    if (!owns_)
+        return std::nullopt;
+    return interval_start_ ? *interval_start_ + interval(per_second) : now;
+}
+
+void rate_share::look_at_owners(const target_id& target,
+                                const data_centre_id& data_centre,
+                                std::size_t count, const rate_owner_view& view,
+                                time_point now)
+{
+    const auto owners = rate_owners(target, data_centre, view.members, count);
+    const bool owns = std::ranges::find(owners, view.self) != owners.end();
+    const bool takes_over = view_version_ != 0 && owns && !owns_;
+    if (takes_over)
+        start_interval(now);
+    owns_ = owns;
+    view_version_ = view.version;
+    wanted_owners_ = count;
+    owners_ = std::max<std::size_t>(owners.size(), 1);
+}
+
+} // namespace vanillapost
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -60,7 +60,7 @@
 } // namespace
 
 target_placer::target_placer(placement_settings settings, random_engine random)
-    : settings_(std::move(settings)), random_(random)
+    : settings_(std::move(settings)), random_(random), view_{settings_.self, {}}
 {
 }
 
@@ -73,23 +73,11 @@
     for (const auto& [id, record] : catalog.all()) {
         auto [found, added] = targets_.try_emplace(id);
         auto& each = found->second;
-        const bool restarted = !added && each.record.born_ms != record.born_ms;
-        const bool moved = !added && each.record.address != record.address;
-        if (restarted || moved)
-            each.pacer = {};
-        const bool told_cold =
-            record.cold_left > duration::zero() &&
-            (added || restarted || each.record.cold_left != record.cold_left);
-        if (told_cold)
-            each.knowledge.on_cold(record.cold_left, now);
-        each.record = record;
-        each.usable = catalog.is_usable(record, now);
-        const auto rate = cold_rates.find(record.service);
-        each.cold_rate = rate == cold_rates.end() ? 0 : rate->second;
-        if (added || moved)
-            each.owners_of_members = 0;
         if (added)
             each.preference = preference_of(settings_.self, id);
+        take_record(each, record, catalog, now);
+        const auto rate = cold_rates.find(record.service);
+        each.cold_rate = rate == cold_rates.end() ? 0 : rate->second;
     }
     std::erase_if(targets_, [&](const auto& each) {
         const auto& known = each.second.knowledge;
@@ -102,6 +90,33 @@
             services_[each.record.service].push_back(&each);
 }
 
+void target_placer::take_record(entry& each, const listed_target& record,
+                                const target_catalog& catalog,
+                                time_point now) const
+{
+    const bool other_start = each.record.born_ms != record.born_ms ||
+                             each.record.address != record.address;
+    if (other_start)
+        each.share = {};
+    const bool told_cold =
+        record.cold_left > duration::zero() &&
+        (other_start || each.record.cold_left != record.cold_left);
+    if (told_cold)
+        each.knowledge.on_cold(record.cold_left, now);
+    each.record = record;
+    each.usable = catalog.is_usable(record, now);
+    take_rate_limit(each, catalog.rate_limit(record), now);
+}
+
+// Whoever hears of a limit does not know what others have just sent.
+void target_placer::take_rate_limit(entry& each, std::optional<double> limit,
+                                    time_point now) const
+{
+    if (limit && !each.rate_limit)
+        each.share.start_interval(now);
+    each.rate_limit = limit;
+}
+
 void target_placer::refresh(const target_id& id, const target_catalog& catalog,
                             time_point now)
 {
@@ -111,6 +126,8 @@
     auto& each = found->second;
     const auto* record = catalog.find(id);
     each.usable = record && catalog.is_usable(*record, now);
+    if (record)
+        take_rate_limit(each, catalog.rate_limit(*record), now);
     list_usable(each.record.service);
 }
 
@@ -125,8 +142,8 @@
 
 void target_placer::set_members(std::vector<owner_candidate> members)
 {
-    members_ = std::move(members);
-    ++members_version_;
+    view_.members = std::move(members);
+    ++view_.version;
 }
 
 placement_decision target_placer::choose(const placement_request& request,
@@ -138,7 +155,7 @@
         auto doubtful = suspects(request, now);
         if (effort.may_measure && !doubtful.empty())
             return measure_first{std::move(doubtful)};
-        return no_target{shortest_pause(request.service, now)};
+        return no_target{first_turn(request.service, now)};
     }
     const auto& best = order.front();
     if (effort.may_measure) {
@@ -156,8 +173,7 @@
     });
     if (chosen == order.end())
         return no_room{from_micros(best.expected)};
-    if (chosen->target->knowledge.is_cold(now))
-        chosen->target->pacer.on_sent(now);
+    chosen->target->share.start_interval(now);
     return place_on{chosen->target->record.id, from_micros(chosen->expected)};
 }
 
@@ -268,15 +284,42 @@
                             time_point now) const
 {
     const auto& known = each.knowledge;
-    if (known.is_doubtful(now) || known.is_draining() || known.is_paused(now))
+    if (known.is_doubtful(now) || known.is_draining())
         return false;
     if (std::ranges::find(request.tried, each.record.id) != request.tried.end())
         return false;
-    if (!each.knowledge.is_cold(now))
-        return true;
-    if (each.record.cold_slots)
-        return has_cold_slot(each, *each.record.cold_slots, now);
-    return owns(each) && each.pacer.may_send(each.cold_rate, now);
+    const auto turn = next_turn(each, now);
+    if (!turn || *turn > now)
+        return false;
+    return !known.is_cold(now) || !each.record.cold_slots ||
+           has_cold_slot(each, *each.record.cold_slots, now);
+}
+
+// Requests a second that it takes from all instances now.
+std::optional<double> target_placer::rate_bound(const entry& each,
+                                                time_point now) const
+{
+    const bool starts = each.knowledge.is_cold(now) && !each.record.cold_slots;
+    if (!starts)
+        return each.rate_limit;
+    return std::min(each.rate_limit.value_or(each.cold_rate), each.cold_rate);
+}
+
+// What a target says that it takes: nothing while it pauses, so many requests
+// a second after its start and while it names a limit. Nothing where this
+// instance has no part of that.
+std::optional<time_point> target_placer::next_turn(const entry& each,
+                                                   time_point now) const
+{
+    const auto open_at = now + each.knowledge.pause_left(now);
+    const auto bound = rate_bound(each, now);
+    if (!bound)
+        return open_at;
+    const auto turn = each.share.next_turn(
+        each.record.id, each.record.data_centre, *bound, view_, now);
+    if (!turn)
+        return std::nullopt;
+    return std::max(*turn, open_at);
 }
 
 // The first owner alone: shares of so few slots would be empty.
@@ -286,30 +329,16 @@
     const bool fresh = each.knowledge.report_age(now) <= settings_.fresh_report;
     const bool settled =
         each.knowledge.cold_for(now) >= settings_.cold_settling;
-    return is_first_owner(each) && fresh && settled &&
-           each.knowledge.load(now) + 1 <= cold_slots + 0.5;
-}
-
-const std::vector<entry_id>& target_placer::owners(const entry& each) const
-{
-    if (each.owners_of_members != members_version_) {
-        each.owners =
-            cold_owners(each.record.id, each.record.data_centre, members_);
-        each.owners_of_members = members_version_;
-    }
-    return each.owners;
+    return fresh && settled &&
+           each.knowledge.load(now) + 1 <= cold_slots + 0.5 &&
+           is_first_owner(each);
 }
 
 bool target_placer::is_first_owner(const entry& each) const
 {
-    const auto& found = owners(each);
-    return !found.empty() && found.front() == settings_.self;
-}
-
-bool target_placer::owns(const entry& each) const
-{
-    const auto& found = owners(each);
-    return std::ranges::find(found, settings_.self) != found.end();
+    const auto owners =
+        rate_owners(each.record.id, each.record.data_centre, view_.members, 1);
+    return !owners.empty() && owners.front() == settings_.self;
 }
 
 target_placer::candidate target_placer::assess(entry& each,
@@ -409,19 +438,29 @@
     }
 }
 
-// Nothing when one that has not asked for a pause may be used any moment.
-std::optional<duration> target_placer::shortest_pause(const service_id& service,
-                                                      time_point now) const
+// Where only others own parts of its rate: some caller gets one of these within
+// an interval.
+duration target_placer::others_turn(const entry& each, time_point now) const
+{
+    const auto bound = rate_bound(each, now).value_or(0);
+    return each.knowledge.pause_left(now) + each.share.interval(bound);
+}
+
+// Nothing when one of them takes any number of requests, or has a turn: what
+// keeps it from being used may end at any moment.
+std::optional<duration> target_placer::first_turn(const service_id& service,
+                                                  time_point now) const
 {
     std::optional<duration> result;
     const auto found = services_.find(service);
     if (found == services_.end())
         return result;
     for (const auto* each : found->second) {
-        if (!each->knowledge.is_paused(now))
+        const auto turn = next_turn(*each, now);
+        if (turn && *turn <= now)
             return std::nullopt;
-        const auto left = each->knowledge.pause_left(now);
-        result = std::min(result.value_or(left), left);
+        const auto wait = turn ? *turn - now : others_turn(*each, now);
+        result = std::min(result.value_or(wait), wait);
     }
     return result;
 }
--- a/src/targets/departure_notes.cpp
+++ b/src/targets/departure_notes.cpp
@@ -11,7 +11,7 @@
 
 bool departure_notes::on_told(const target_id& id, std::int64_t born)
 {
-    auto& known = note_of(id);
+    auto& known = notes_.of(id);
     if (known.told_born && *known.told_born >= born)
         return false;
     known.told_born = born;
@@ -21,7 +21,7 @@
 bool departure_notes::on_peer_told(const target_id& id, std::int64_t born,
                                    time_point now)
 {
-    auto& known = note_of(id);
+    auto& known = notes_.of(id);
     if (known.told_born && *known.told_born >= born)
         return false;
     if (known.peer_born && *known.peer_born >= born)
@@ -34,35 +34,13 @@
 bool departure_notes::is_leaving(const target_id& id, std::int64_t born,
                                  time_point now) const
 {
-    const auto found = notes_.find(id);
-    if (found == notes_.end())
+    const auto* known = notes_.find(id);
+    if (!known)
         return false;
-    const auto& known = found->second;
-    const bool told = known.told_born && *known.told_born >= born;
-    const bool by_peer =
-        known.peer_born && *known.peer_born >= born && now < known.peer_until;
+    const bool told = known->told_born && *known->told_born >= born;
+    const bool by_peer = known->peer_born && *known->peer_born >= born &&
+                         now < known->peer_until;
     return told || by_peer;
 }
 
-departure_notes::note& departure_notes::note_of(const target_id& id)
-{
-    const auto [found, added] = notes_.try_emplace(id);
-    if (added && notes_.size() > max_notes)
-        forget_earliest(id);
-    return found->second;
-}
-
-void departure_notes::forget_earliest(const target_id& kept)
-{
-    auto earliest = notes_.end();
-    for (auto each = notes_.begin(); each != notes_.end(); ++each) {
-        if (each->first == kept)
-            continue;
-        if (earliest == notes_.end() ||
-            each->second.newest_born() < earliest->second.newest_born())
-            earliest = each;
-    }
-    notes_.erase(earliest);
-}
-
 } // namespace vanillapost
--- a/src/targets/target_catalog.cpp
+++ b/src/targets/target_catalog.cpp
@@ -82,6 +82,13 @@
     return departures_.on_peer_told(id, born, now);
 }
 
+bool target_catalog::on_peer_told_rate_limit(const rate_limit_note& told,
+                                             time_point now)
+{
+    const auto* record = find(told.target);
+    return record && record->born_ms == told.born && limits_.merge(told, now);
+}
+
 bool target_catalog::advance(time_point now)
 {
     bool removed = false;
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -431,29 +431,28 @@
     for (int i = 0; i < 6; ++i)
         all.push_back(
             {{"m" + std::to_string(i)}, {"d" + std::to_string(i % 3)}});
-    std::vector<std::vector<owner_candidate>> views;
+    std::vector<rate_owner_view> views;
     for (int i = 0; i < 6; ++i) {
         auto view = all;
         // Each misses up to one other, as while a death becomes known.
         const auto missing = *rc::gen::inRange<std::size_t>(0, 7);
         if (missing < view.size() && missing != static_cast<std::size_t>(i))
             view.erase(view.begin() + static_cast<std::ptrdiff_t>(missing));
-        views.push_back(view);
+        views.push_back({all[static_cast<std::size_t>(i)].name, view});
     }
-    std::vector<cold_pacer> pacers(6);
+    std::vector<rate_share> shares(6);
     const int restarted = *rc::gen::inRange(0, 6);
     std::vector<time_point> sent;
     for (int tick = 0; tick < 500; ++tick) { // of 10 ms
         const time_point now = start + tick * 10ms;
         if (tick == 250)
-            pacers[static_cast<std::size_t>(restarted)] = {};
+            shares[static_cast<std::size_t>(restarted)] = {};
         for (std::size_t i = 0; i < 6; ++i) {
-            const auto owners = cold_owners({"t"}, {"d1"}, views[i]);
-            const bool owns =
-                std::ranges::find(owners, all[i].name) != owners.end();
-            if (!owns || !pacers[i].may_send(rate, now))
+            const auto turn =
+                shares[i].next_turn({"t"}, {"d1"}, rate, views[i], now);
+            if (!turn || *turn > now)
                 continue;
-            pacers[i].on_sent(now);
+            shares[i].start_interval(now);
             sent.push_back(now);
         }
     }
@@ -478,13 +477,13 @@
     EXPECT_EQ(p.chosen(), "old");
 }
 
-TEST(Placement, ColdOwnersAreOfTheDataCentreWhereThereAreSome)
+TEST(Placement, OwnersOfARateAreOfTheDataCentreWhereThereAreSome)
 {
     const std::vector<owner_candidate> members{
         {{"a"}, {"d1"}}, {{"b"}, {"d2"}}, {{"c"}, {"d2"}}, {{"d"}, {"d2"}}};
     for (const auto& target : {"t1", "t2", "t3"}) {
-        const auto owners = cold_owners({target}, {"d2"}, members);
-        ASSERT_EQ(owners.size(), cold_owner_count);
+        const auto owners = rate_owners({target}, {"d2"}, members, 2);
+        ASSERT_EQ(owners.size(), 2u);
         for (const auto& owner : owners)
             EXPECT_NE(owner.value, "a");
     }
