--- a/include/vanillapost/placement.hpp
+++ b/include/vanillapost/placement.hpp
@@ -8,6 +8,7 @@
 #include "src/placement/load_report.hpp"
 #include "src/placement/pause_request.hpp"
 #include "src/placement/placement_request.hpp"
+#include "src/placement/placement_settings.hpp"
 #include "src/placement/rate_limit_request.hpp"
 #include "src/placement/rate_share.hpp"
 #include "src/placement/target_knowledge.hpp"
--- a/src/placement/rate_share.cpp
+++ b/src/placement/rate_share.cpp
@@ -15,7 +15,7 @@
 constexpr double spacing_margin = 1.05;
 /// A target that names less, or nothing at all, still gets so many requests a
 /// second: only its answers tell when it takes more again.
-constexpr double lowest_rate = 0.1;
+constexpr double lowest_rate = 0.25;
 constexpr double micros_per_second = 1e6;
 
 struct ranked
