--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -16,6 +16,8 @@
 constexpr duration access_memory = 5s;
 /// Row of the member table with all members.
 constexpr std::string_view member_list_key = "list";
+/// As base64 it fits into a row of 64 KiB.
+constexpr std::size_t max_member_list_bytes = 48 * 1024;
 constexpr std::string_view from_store;
 constexpr duration refresh_delay = 20ms;
 /// A platform that has just started has no rows to tell yet.
@@ -388,10 +390,12 @@
 
 void state_controller::write_members()
 {
-    json list = json::array({to_json(known_.members.self())});
+    std::vector<member> others;
     for (const auto& peer : known_.members.live_peers(loop_.now()))
-        list.push_back(to_json(peer.who));
-    store_.put(language_.rows.member_table, member_list_key, list.dump(),
+        others.push_back(peer.who);
+    store_.put(language_.rows.member_table, member_list_key,
+               format_member_list(known_.members.self(), others,
+                                  max_member_list_bytes),
                [this, alive = alive_](const io::store_result& result) {
                    const auto* failure =
                        std::get_if<io::store_failure>(&result);
--- a/include/vanillapost/members.hpp
+++ b/include/vanillapost/members.hpp
@@ -9,6 +9,7 @@
 #include "src/members/freshness.hpp"
 #include "src/members/member.hpp"
 #include "src/members/member_codec.hpp"
+#include "src/members/member_list.hpp"
 #include "src/members/member_table.hpp"
 #include "src/members/reader_choice.hpp"
 
--- a/test/fuzz/header_values.cpp
+++ b/test/fuzz/header_values.cpp
@@ -1,5 +1,6 @@
 #include "../../platform/decode.hpp"
 #include "fuzz_target.hpp"
+#include "vanillapost/placement.hpp"
 
 #include <cmath>
 
@@ -14,6 +15,9 @@
         require(*left >= duration::zero());
     if (const auto time = parse_duration(bytes))
         require(*time >= duration::zero());
+    const auto limit = parse_rate_limit(bytes);
+    if (const auto* named = std::get_if<double>(&limit))
+        require(*named >= 0 && *named <= highest_rate_limit);
     if (const auto zone = platform::decode_evacuation(bytes))
         require(is_name_text(zone->value));
 }
--- a/test/fuzz/peer_message.cpp
+++ b/test/fuzz/peer_message.cpp
@@ -1,5 +1,6 @@
 #include "fuzz_target.hpp"
 #include "vanillapost/members.hpp"
+#include "vanillapost/targets.hpp"
 #include "vanillapost/src/io/detail/cbor.hpp"
 
 void vanillapost::fuzz::decode(std::string_view bytes)
@@ -7,6 +8,12 @@
     const auto message = io::detail::parse_message(bytes);
     // What a message holds may be written into JSON later on.
     message.dump();
+    if (message.contains("limits"))
+        for (const auto& each : message.at("limits"))
+            decode_or_refuse([&] {
+                const auto note = parse_rate_limit_note(each);
+                require(parse_rate_limit_note(to_json(note)) == note);
+            });
     for (const auto* field : {"hello", "heartbeat"}) {
         if (!message.contains(field))
             continue;
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 using namespace vanillapost;
 using namespace std::chrono_literals;
@@ -49,6 +50,40 @@
     EXPECT_EQ(table.ready_peers(start).size(), 1u);
 }
 
+// The whole list of 528 was over the 64 KiB of a row, and the store refused it.
+TEST(Members, AListOfManyMembersFitsIntoARow)
+{
+    constexpr std::size_t row = 48 * 1024;
+    std::vector<member> others;
+    for (int i = 0; i < 1000; ++i) {
+        member made = make_member("entry-" + std::to_string(i),
+                                  "d" + std::to_string(i % 8));
+        made.caller_address = "10.110.120.130:18381";
+        made.peer_address = "10.110.120.130:17200";
+        made.query_address = "10.110.120.130:18382";
+        others.push_back(made);
+        const auto text =
+            format_member_list(make_member("self", "d0"), others, row);
+        ASSERT_LE(text.size(), row) << others.size();
+    }
+    const auto list = nlohmann::json::parse(
+        format_member_list(make_member("self", "d0"), others, row));
+    EXPECT_GT(list.size(), 100u);
+    std::set<data_centre_id> told;
+    for (const auto& each : list)
+        told.insert({each.at("data_centre").get<std::string>()});
+    EXPECT_EQ(told.size(), 8u);
+    EXPECT_EQ(list[0].at("name"), "self");
+}
+
+TEST(Members, AListOfFewMembersHasAll)
+{
+    const std::vector others{make_member("a", "d1"), make_member("b", "d2")};
+    const auto list = nlohmann::json::parse(
+        format_member_list(make_member("self", "d0"), others, 48 * 1024));
+    EXPECT_EQ(list.size(), 3u);
+}
+
 // An old list made a member that was heard unknown until it greeted again.
 TEST(Members, AnOldListReplacedAMemberThatWasHeard)
 {
