--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -38,10 +38,6 @@
 /// theirs, where that is near: it is long.
 constexpr int most_other_views = 8;
 constexpr duration view_question_interval = 5s;
-/// Seeds that are not among the live members are greeted again: they may lead
-/// to a part of the fleet that is not known.
-constexpr duration seed_interval = 10s;
-
 } // namespace
 
 peer_controller::peer_controller(io::event_loop& loop, const io::address& where,
@@ -78,14 +74,16 @@
       ask_timer_(loop, [this] { ask_if_behind(); }),
       repeat_timer_(loop, [this] { send_heartbeat_once(); }),
       untold_timer_(loop, [this] { read_if_untold(); }),
-      seeds_(std::move(seeds)), peer_port_(where.port), reader_(loop.now()),
-      started_(loop.now())
+      greeter_(
+          known, std::move(seeds), where.port,
+          [this](const io::address& to, bool ask) { send_hello(to, ask); }),
+      reader_(loop.now()), started_(loop.now())
 {
 }
 
 void peer_controller::start()
 {
-    if (is_seed()) {
+    if (greeter_.is_seed()) {
         reader_.need_store(started_);
         state_.follow_store();
     }
@@ -103,13 +101,7 @@
         return;
     }
     join_timer_.start_once(greeting_interval);
-    greet_seeds();
-}
-
-bool peer_controller::is_seed() const
-{
-    return std::ranges::find(seeds_, known_.members.self().query_address) !=
-           seeds_.end();
+    greeter_.greet_seeds();
 }
 
 void peer_controller::set_ready(bool ready)
@@ -167,11 +159,7 @@
         send_heartbeat();
     else if (!is_large || state_.is_following())
         send_heartbeat_once();
-    announce();
-    if (known_.members.live_peers(now).empty())
-        greet_seeds();
-    else if (now >= seeds_greeted_at_ + seed_interval)
-        greet_missing_seeds();
+    greeter_.keep_in_touch(now);
     ask_if_behind();
     keep_member_list();
 }
@@ -266,49 +254,6 @@
     socket_.send(to, write_message(message));
 }
 
-// Members that this instance was only told of do not know it yet.
-void peer_controller::announce()
-{
-    std::set<std::string> known;
-    for (const auto& peer : known_.members.peers()) {
-        auto process = peer.name.value + '\n' + peer.incarnation;
-        if (!announced_.contains(process))
-            send_hello(io::parse_address(peer.peer_address), false);
-        known.insert(std::move(process));
-    }
-    announced_ = std::move(known);
-}
-
-void peer_controller::greet_seeds()
-{
-    for (const auto& seed : seeds_)
-        greet(seed);
-}
-
-// Ports are the same on all instances.
-void peer_controller::greet(const std::string& seed)
-{
-    if (seed == known_.members.self().query_address)
-        return;
-    auto where = io::parse_address(seed);
-    where.port = peer_port_;
-    send_hello(where, true);
-}
-
-void peer_controller::greet_missing_seeds()
-{
-    const auto now = loop_.now();
-    seeds_greeted_at_ = now;
-    const auto live = known_.members.live_peers(now);
-    for (const auto& seed : seeds_) {
-        const bool is_live = std::ranges::any_of(live, [&](const auto& each) {
-            return each.who.query_address == seed;
-        });
-        if (!is_live)
-            greet(seed);
-    }
-}
-
 // A whole table does not tell of rows that came and went before it, so peers
 // that lack something ask for what they lack.
 void peer_controller::pass_on(shared_table which,
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -3,6 +3,7 @@
 
 #include "peers/change_relay.hpp"
 #include "peers/departure_relay.hpp"
+#include "peers/greeter.hpp"
 #include "peers/member_watch.hpp"
 #include "peers/rate_limit_relay.hpp"
 #include "peers/state_question.hpp"
@@ -11,8 +12,6 @@
 #include "state/state_controller.hpp"
 #include "vanillapost/src/io/datagram_socket.hpp"
 
-#include <set>
-
 namespace vanillapost::router {
 
 /// Tells peers that this instance lives and hears the same of them; passes
@@ -68,10 +67,6 @@
     void send_probe_to(const member& to);
     void send_sign_of_life(const io::address& to, bool held_dead);
     void send_hello(const io::address& to, bool ask);
-    void announce();
-    void greet(const std::string& seed);
-    void greet_seeds();
-    void greet_missing_seeds();
     void take_datagram(const io::address& from, std::string_view bytes);
     void take_message(const io::address& from, const nlohmann::json& message);
     void take_hello(const io::address& from, const nlohmann::json& message);
@@ -86,7 +81,6 @@
     nlohmann::json make_message();
     nlohmann::json make_message_with_view();
     duration interval() const;
-    bool is_seed() const;
 
     io::event_loop& loop_;
     knowledge& known_;
@@ -105,8 +99,7 @@
     io::timer ask_timer_;
     io::timer repeat_timer_;
     io::timer untold_timer_;
-    std::vector<std::string> seeds_;
-    std::uint16_t peer_port_;
+    greeter greeter_;
     reader_choice reader_;
     time_point started_{};
     std::optional<time_point> members_read_at_;
@@ -115,11 +108,9 @@
     std::vector<member> listed_; ///< as last left in the store
     time_point listed_at_{};
     bool was_large_ = false;
-    bool members_told_ = false;       ///< by a peer, since the start
-    bool was_greeted_ = false;        ///< by any peer since the start
-    std::set<std::string> announced_; ///< processes that know this one
-    time_point seeds_greeted_at_{};
-    int other_views_ = 0; ///< in a row
+    bool members_told_ = false; ///< by a peer, since the start
+    bool was_greeted_ = false;  ///< by any peer since the start
+    int other_views_ = 0;       ///< in a row
     time_point view_asked_at_{};
 };
 
--- a/test/platform/test_limits.py
+++ b/test/platform/test_limits.py
@@ -22,15 +22,20 @@
          if at > since])
 
 
+async def limit_one(fleet, limit, seconds, in_probes=False):
+    """Load for that time; after a second a target names a limit."""
+    target = fleet.targets_of("stock")[0]
+    load = asyncio.create_task(fleet.load(seconds, routes=[LOOKUP], **STRONG))
+    await asyncio.sleep(1)
+    target.name_limit(limit, in_probes)
+    return target, load
+
+
 def play_limited(during, limit=2.0, seconds=9, in_probes=False, **wanted):
     """Load while a target names a limit, and something happens."""
 
     async def scenario(fleet):
-        target = fleet.targets_of("stock")[0]
-        load = asyncio.create_task(
-            fleet.load(seconds, routes=[LOOKUP], **STRONG))
-        await asyncio.sleep(1)
-        target.name_limit(limit, in_probes)
+        target, load = await limit_one(fleet, limit, seconds, in_probes)
         named = time.monotonic()
         await during(fleet, target)
         await load
@@ -114,11 +119,7 @@
 
 def test_a_target_whose_limit_has_ended_is_used_by_all_again():
     async def scenario(fleet):
-        target = fleet.targets_of("stock")[0]
-        load = asyncio.create_task(
-            fleet.load(10, routes=[LOOKUP], **STRONG))
-        await asyncio.sleep(1)
-        target.name_limit(2.0)
+        target, load = await limit_one(fleet, 2.0, 10)
         await asyncio.sleep(4)
         target.name_limit(None)
         ended = time.monotonic()
@@ -134,11 +135,7 @@
 
 def test_a_new_start_of_a_limited_target_has_no_limit():
     async def scenario(fleet):
-        target = fleet.targets_of("stock")[0]
-        load = asyncio.create_task(
-            fleet.load(8, routes=[LOOKUP], **STRONG))
-        await asyncio.sleep(1)
-        target.name_limit(0)
+        target, load = await limit_one(fleet, 0, 8)
         await asyncio.sleep(3)
         target.begin_anew()
         await target.list_itself()
