--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -38,6 +38,7 @@
 /// theirs, where that is near: it is long.
 constexpr int most_other_views = 8;
 constexpr duration view_question_interval = 5s;
+
 } // namespace
 
 peer_controller::peer_controller(io::event_loop& loop, const io::address& where,
@@ -212,32 +213,30 @@
 void peer_controller::send_heartbeat_once()
 {
     // In a large fleet few send these, and to all; probes tell limits there.
-    auto message = known_.members.is_large()
-                       ? json{{"heartbeat", to_json(make_heartbeat())}}
-                       : make_message();
-    send_to_peers("heartbeat", message);
+    const auto heartbeat = make_heartbeat();
+    send_to_peers("heartbeat", known_.members.is_large()
+                                   ? json{{"heartbeat", to_json(heartbeat)}}
+                                   : with_limits(heartbeat));
 }
 
-// A heartbeat, with some of what peers may have missed.
-json peer_controller::make_message()
+// With some of the limits, which the peer may have missed.
+json peer_controller::with_limits(const member_heartbeat& heartbeat)
 {
-    json message = {{"heartbeat", to_json(make_heartbeat())}};
+    json message = {{"heartbeat", to_json(heartbeat)}};
     limits_.add_to(message);
     return message;
 }
 
-json peer_controller::make_message_with_view()
+member_heartbeat peer_controller::make_heartbeat_with_view() const
 {
     auto heartbeat = make_heartbeat();
     heartbeat.view = known_.members.view(loop_.now());
-    json message = {{"heartbeat", to_json(heartbeat)}};
-    limits_.add_to(message);
-    return message;
+    return heartbeat;
 }
 
 void peer_controller::send_probe_to(const member& to)
 {
-    auto message = make_message_with_view();
+    auto message = with_limits(make_heartbeat_with_view());
     message["probe"] = true;
     send("probe", to, write_message(message));
 }
@@ -245,14 +244,14 @@
 // To who probed this instance.
 void peer_controller::send_sign_of_life(const io::address& to, bool held_dead)
 {
-    auto message = make_message_with_view();
+    auto message = with_limits(make_heartbeat_with_view());
     message["held_dead"] = held_dead;
     socket_.send(to, write_message(message));
 }
 
 void peer_controller::send_hello(const io::address& to, bool ask)
 {
-    auto message = make_message();
+    auto message = with_limits(make_heartbeat());
     message["hello"] = to_json(known_.members.self());
     message["ask"] = ask;
     socket_.send(to, write_message(message));
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -78,8 +78,8 @@
     void compare_view(const member_heartbeat& heartbeat);
     void keep_member_list();
     member_heartbeat make_heartbeat() const;
-    nlohmann::json make_message();
-    nlohmann::json make_message_with_view();
+    member_heartbeat make_heartbeat_with_view() const;
+    nlohmann::json with_limits(const member_heartbeat& heartbeat);
     duration interval() const;
 
     io::event_loop& loop_;
--- a/test/fuzz/peer_message.cpp
+++ b/test/fuzz/peer_message.cpp
@@ -1,7 +1,7 @@
 #include "fuzz_target.hpp"
 #include "vanillapost/members.hpp"
-#include "vanillapost/targets.hpp"
 #include "vanillapost/src/io/detail/cbor.hpp"
+#include "vanillapost/targets.hpp"
 
 void vanillapost::fuzz::decode(std::string_view bytes)
 {
--- a/test/platform/faults.py
+++ b/test/platform/faults.py
@@ -11,6 +11,8 @@
 JUNK_DATAGRAMS = (b"", b"\x00", b"\xff" * 900, b"\x81" * 1400, b"\xa1" * 1400,
                   b"{}", b"\xa1\x65hello\xa0", b"\xa1\x69heartbeat\xf6",
                   b"\xbf\x7f" * 600, b"\xa2\x65tableatfchange\xa0",
+                  b"\xa1\x66limits\x01", b"\xa1\x66limits\x81\x61x",
+                  b"\xa1\x66limits\x81\x84\x61t\x20\x01\xf9\x7e\x00",
                   b"\x9b" + b"\xff" * 8, b"\x5b" + b"\xff" * 8)
 
 
