Judge the head of a target's answer once, and drop a parameter nobody reads

The recorder judged the head twice for each answer, once for who gave it and once for the end of a limit, on the way of every request; it does so once now and hands the outcome on. A parameter of the fleet's replay was read by nobody. Behaviour is the same.

--- a/apps/router/targets/condition_recorder.cpp
+++ b/apps/router/targets/condition_recorder.cpp
@@ -18,7 +18,8 @@
                                 const io::target_answer_head& head)
 {
     const auto& target = asked.target;
-    if (!is_from(target, head))
+    const auto outcome = judge_answer(head, language_.headers);
+    if (!is_from(target, head, outcome))
         return;
     const auto now = loop_.now();
     const auto condition = language_.read_condition(head.headers);
@@ -34,18 +35,19 @@
     const auto pause = io::find_header(head.headers, "Retry-After");
     if (pause && head.status == status_unavailable)
         record_pause(target, *pause);
-    record_rate_limit(asked, head);
+    record_rate_limit(asked, head, outcome);
 }
 
 // Its address may have gone to another target, which speaks for itself only.
 bool condition_recorder::is_from(const target_id& target,
-                                 const io::target_answer_head& head) const
+                                 const io::target_answer_head& head,
+                                 const attempt_outcome& outcome) const
 {
     const auto instance =
         io::find_header(head.headers, language_.headers.instance_id);
     const bool is_other = instance && *instance != target.value;
-    const bool misdirected = std::holds_alternative<attempt_misdirected>(
-        judge_answer(head, language_.headers));
+    const bool misdirected =
+        std::holds_alternative<attempt_misdirected>(outcome);
     return !is_other && !misdirected;
 }
 
@@ -82,15 +84,15 @@
 }
 
 void condition_recorder::record_rate_limit(const target_question& asked,
-                                           const io::target_answer_head& head)
+                                           const io::target_answer_head& head,
+                                           const attempt_outcome& outcome)
 {
     const auto header =
         io::find_header(head.headers, language_.headers.rate_limit);
     if (!header) {
         // Health checks and refusals may leave it out at any time.
-        const bool ends =
-            !asked.is_probe && std::holds_alternative<attempt_answered>(
-                                   judge_answer(head, language_.headers));
+        const bool ends = !asked.is_probe &&
+                          std::holds_alternative<attempt_answered>(outcome);
         if (ends)
             record_rate(asked, std::nullopt);
         return;
--- a/apps/router/targets/condition_recorder.hpp
+++ b/apps/router/targets/condition_recorder.hpp
@@ -5,6 +5,7 @@
 #include "reporting/router_log.hpp"
 #include "reporting/router_metrics.hpp"
 #include "state/knowledge.hpp"
+#include "vanillapost/attempts.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
 #include <functional>
@@ -43,12 +44,13 @@
                 const io::target_answer_head& head);
 
 private:
-    bool is_from(const target_id& target,
-                 const io::target_answer_head& head) const;
+    bool is_from(const target_id& target, const io::target_answer_head& head,
+                 const attempt_outcome& outcome) const;
     void record_departure(const target_id& target, std::int64_t born);
     void record_pause(const target_id& target, std::string_view header);
     void record_rate_limit(const target_question& asked,
-                           const io::target_answer_head& head);
+                           const io::target_answer_head& head,
+                           const attempt_outcome& outcome);
     void record_rate(const target_question& asked,
                      std::optional<double> per_second);
     void note_not_kept(std::string_view event, const target_id& target,
--- a/test/rate_limits.cpp
+++ b/test/rate_limits.cpp
@@ -228,7 +228,7 @@
             instances_[i]->next_request = start + draw(settings.pause);
         }
         for (std::size_t i = 0; i < settings.size; ++i)
-            show_members(i, start);
+            show_members(i);
     }
 
     void run(duration length)
@@ -303,7 +303,7 @@
     }
 
     // As this instance sees them; late news of others is in `hidden_`.
-    void show_members(std::size_t i, time_point)
+    void show_members(std::size_t i)
     {
         if (!settings_.shares_rate) {
             instances_[i]->placer.set_members({members_[i]});
@@ -388,7 +388,7 @@
         instances_[i]->up = true;
         instances_[i]->up_since = now_;
         instances_[i]->next_request = now_ + 100ms;
-        show_members(i, now_);
+        show_members(i);
         for (std::size_t j = 0; j < instances_.size(); ++j) {
             later(draw(600ms), [this, i, j] { hide(i, j, false); });
             later(draw(600ms), [this, i, j] { hide(j, i, false); });
@@ -402,7 +402,7 @@
         if (viewer == member || hidden_[{viewer, member}] == hidden)
             return;
         hidden_[{viewer, member}] = hidden;
-        show_members(viewer, now_);
+        show_members(viewer);
     }
 
     fleet_settings settings_;
