Let instances that callers do not reach leave their parts of rates to others

Cause: the owners of a target's rate are chosen by hash over all ready instances.

Change: while limits are known, an instance without a request for 2 s tells all that it is idle, and is no owner until it has told that it is idle no more; one that has a part anew waits an interval, as before. Where all are idle all may own.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -137,6 +137,7 @@
     result.store = state_.access();
     result.revisions = state_.revisions();
     result.is_probed = known_.members.is_large();
+    result.is_idle = known_.is_idle();
     return result;
 }
 
@@ -156,7 +157,8 @@
     // Noted while readers are heard: it lasts through an outage.
     state_.knows_newest();
     const bool is_large = known_.members.is_large();
-    if (std::exchange(was_large_, is_large) != is_large)
+    const bool idle_changed = known_.update_idle(now);
+    if (std::exchange(was_large_, is_large) != is_large || idle_changed)
         send_heartbeat();
     else if (!is_large || state_.is_following())
         send_heartbeat_once();
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -54,6 +54,7 @@
     incoming_request request;
     request.message = std::move(message);
     request.arrived = loop_.now();
+    known_.on_request(request.arrived);
     const auto refused =
         run_filters(request, {known_, language_, make_up_id_, knows_newest_});
     if (refused) {
--- a/apps/router/state/knowledge.cpp
+++ b/apps/router/state/knowledge.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+/// An instance without requests for so long leaves its parts of rates to
+/// others. Callers keep an answer of the directory for longer.
+constexpr duration idle_after = std::chrono::seconds(2);
+
 placement_settings make_placement(const member& self, double queue_per_slot)
 {
     placement_settings result;
@@ -39,13 +43,29 @@
 
 void knowledge::refresh_members(time_point now)
 {
-    std::vector<owner_candidate> owners;
-    for (const auto& peer : members.ready_peers(now))
-        owners.push_back({peer.name, peer.data_centre});
-    const auto& self = members.self();
-    if (!leaving_ || owners.empty())
-        owners.push_back({self.name, self.data_centre});
-    placer.set_members(std::move(owners));
+    auto owners = members.busy_peers(now);
+    bool owns = !leaving_ && !idle_;
+    if (owners.empty() && !owns) {
+        owners = members.ready_peers(now);
+        owns = !leaving_ || owners.empty();
+    }
+    if (owns)
+        owners.push_back(members.self());
+    std::vector<owner_candidate> candidates;
+    for (const auto& each : owners)
+        candidates.push_back({each.name, each.data_centre});
+    placer.set_members(std::move(candidates));
+}
+
+bool knowledge::update_idle(time_point now)
+{
+    const bool idle =
+        targets.limits().size() > 0 && now - requested_at_ > idle_after;
+    if (idle == idle_)
+        return false;
+    idle_ = idle;
+    refresh_members(now);
+    return true;
 }
 
 void knowledge::leave(time_point now)
--- a/apps/router/state/knowledge.hpp
+++ b/apps/router/state/knowledge.hpp
@@ -31,6 +31,21 @@
     /// are any.
     void leave(time_point now);
 
+    /// A caller has sent a request.
+    void on_request(time_point now)
+    {
+        requested_at_ = now;
+    }
+
+    /// Looks whether this instance has become idle, or is so no more.
+    /// \return whether that changed: peers have to know
+    bool update_idle(time_point now);
+
+    bool is_idle() const
+    {
+        return idle_;
+    }
+
     /// An answer's word on the rate that its target takes.
     /// \see rate_limits::on_told
     rate_limit_news on_told_rate_limit(const target_id& target,
@@ -63,6 +78,8 @@
 
     route_table routes_;
     bool leaving_ = false;
+    bool idle_ = false;
+    time_point requested_at_{};
 };
 
 } // namespace vanillapost::router
--- a/include/vanillapost/src/members/member.hpp
+++ b/include/vanillapost/src/members/member.hpp
@@ -55,6 +55,9 @@
     /// It sends heartbeats to few, and answers when it is probed; silence of
     /// such a member means nothing.
     bool is_probed = false;
+    /// Targets name rates, and no caller has sent it a request lately: what it
+    /// owned of a rate would go unused.
+    bool is_idle = false;
     store_access store = store_access::untried;
     state_revisions revisions;
     /// Digest of the members that it takes for live; 0 when it tells none.
--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -86,9 +86,13 @@
     /// \return false when the sender is unknown: ask it who it is
     bool on_heartbeat(const member_heartbeat& heartbeat, time_point now);
 
-    /// Whether the set of live or ready members changed since the last call.
+    /// Whether the set of live, ready or idle members changed since the last
+    /// call.
     bool advance(time_point now);
 
+    /// Those of the ready ones that are not idle.
+    std::vector<member> busy_peers(time_point now) const;
+
     /// All that are known, to send heartbeats to.
     std::vector<member> peers() const;
 
@@ -119,6 +123,7 @@
         time_point known_since{};
         bool was_live = false;
         bool was_ready = false;
+        bool was_busy = false;
     };
 
     bool is_live(const entry& each, time_point now) const;
--- a/src/members/member_codec.cpp
+++ b/src/members/member_codec.cpp
@@ -72,6 +72,8 @@
                     {"t", heartbeat.revisions.targets}};
     if (heartbeat.is_probed)
         message["p"] = true;
+    if (heartbeat.is_idle)
+        message["u"] = true;
     if (heartbeat.view != 0)
         message["v"] = heartbeat.view;
     return message;
@@ -105,6 +107,8 @@
         // Left out where they say nothing, and by peers of earlier versions.
         heartbeat.is_probed =
             document.contains("p") && document.at("p").get<bool>();
+        heartbeat.is_idle =
+            document.contains("u") && document.at("u").get<bool>();
         if (document.contains("v"))
             heartbeat.view = read_whole(document, "v", max_exact_whole);
         heartbeat.store = static_cast<store_access>(read_whole(
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -142,9 +142,12 @@
     for (auto& [name, peer] : peers_) {
         const bool live = is_live(peer, now);
         const bool ready = live && peer.heartbeat.ready;
-        changed = changed || live != peer.was_live || ready != peer.was_ready;
+        const bool busy = ready && !peer.heartbeat.is_idle;
+        changed = changed || live != peer.was_live || ready != peer.was_ready ||
+                  busy != peer.was_busy;
         peer.was_live = live;
         peer.was_ready = ready;
+        peer.was_busy = busy;
     }
     std::erase_if(peers_, [&](const auto& each) {
         const auto& peer = each.second;
@@ -184,6 +187,16 @@
     return result;
 }
 
+std::vector<member> member_table::busy_peers(time_point now) const
+{
+    std::vector<member> result;
+    for (const auto& [name, peer] : peers_)
+        if (is_live(peer, now) && peer.heartbeat.ready &&
+            !peer.heartbeat.is_idle)
+            result.push_back(peer.who);
+    return result;
+}
+
 bool member_table::is_live(const entry& each, time_point now) const
 {
     if (each.heartbeat.leaving || (!each.heard && !each.told_live))
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -174,6 +174,21 @@
     EXPECT_NE(one.view(start), one.view(start + 1min));
 }
 
+// An owner of a part of a rate that no caller reached left it unused.
+TEST(Members, AnIdleMemberIsReadyAndNotBusy)
+{
+    auto table = heard(3);
+    table.advance(start);
+    auto idle = make_heartbeat("m1");
+    idle.is_idle = true;
+    table.on_heartbeat(idle, start);
+    EXPECT_TRUE(table.advance(start));
+    EXPECT_EQ(table.ready_peers(start).size(), 3u);
+    EXPECT_EQ(table.busy_peers(start).size(), 2u);
+    EXPECT_FALSE(table.advance(start));
+    EXPECT_TRUE(parse_member_heartbeat(to_json(idle)).is_idle);
+}
+
 TEST(Members, AHeartbeatSurvivesItsEncoding)
 {
     auto heartbeat = make_heartbeat("a");
