Tell in logs and metrics how late an instance knows, and how late requests go out

Cause of this change: the logs of DRAIN cannot tell its hypotheses apart: whether datagrams came that could not be used (H1), why answers did not come (H2), whether a removed target stayed in use (H3), by which revision a request was placed and when it went out (H4).

Change: no decision changes. New lines: changes_late, changes_caught_up, target_removal_held, and the reason where a peer tells others; attempts end with the revision by which they were placed and the time until they went out. New metrics: lateness, delay of changes, changes by what became of them, held removals, delay of sends. The setting drain_time is the bound against which lateness is judged.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -156,6 +156,7 @@
     choose_source();
     // Noted while readers are heard: it lasts through an outage.
     state_.knows_newest();
+    state_.watch_lateness();
     const bool is_large = known_.members.is_large();
     const bool idle_changed = known_.update_idle(now);
     if (std::exchange(was_large_, is_large) != is_large || idle_changed)
@@ -332,6 +333,7 @@
     if (known_.members.advance(now))
         known_.refresh_members(now);
     compare_view(heartbeat);
+    state_.note_known(heartbeat.revisions);
     if (state_.revisions().is_behind(heartbeat.revisions) &&
         !question_.is_open())
         ask_timer_.start_once(
--- a/apps/router/peers/state_question.cpp
+++ b/apps/router/peers/state_question.cpp
@@ -70,6 +70,8 @@
 void state_question::take_answer(const std::string& peer)
 {
     if (status_ == status_unavailable) {
+        log_.request(io::log_level::info, "peer_did_not_tell_state",
+                     {{"peer", peer}, {"reason", "it is telling others"}});
         end(question_end::busy);
         return;
     }
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -14,6 +14,9 @@
 const prometheus::Histogram::BucketBoundaries latency_buckets = {
     0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8};
 
+const prometheus::Histogram::BucketBoundaries delay_buckets = {
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2, 3, 5};
+
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
@@ -81,6 +84,28 @@
       state_questions_(
           make_counters(registry_, "vanillapost_state_questions_total",
                         "Questions for a peer's state, by their end")),
+      changes_(make_counters(registry_, "vanillapost_changes_total",
+                             "Changes of tables that came, by what became of "
+                             "them")),
+      change_delay_(
+          prometheus::BuildHistogram()
+              .Name("vanillapost_change_delay_seconds")
+              .Help("Time from an instance's reading of the store until a "
+                    "change was taken here")
+              .Register(registry_)),
+      lateness_(prometheus::BuildGauge()
+                    .Name("vanillapost_lateness_seconds")
+                    .Help("For how long a table has lacked changes")
+                    .Register(registry_)),
+      held_removals_(make_counters(registry_, "vanillapost_held_removals_total",
+                                   "Removals of targets that were put off")
+                         .Add({})),
+      send_delay_(prometheus::BuildHistogram()
+                      .Name("vanillapost_send_delay_seconds")
+                      .Help("Time from the placement of an attempt until it "
+                            "went out")
+                      .Register(registry_)
+                      .Add({}, delay_buckets)),
       member_deaths_(make_counters(registry_, "vanillapost_member_deaths_total",
                                    "Members that were declared dead")
                          .Add({})),
@@ -179,6 +204,36 @@
     state_questions_.Add({{"result", std::string(result)}}).Increment();
 }
 
+void router_metrics::count_change(std::string_view table,
+                                  std::string_view result)
+{
+    changes_
+        .Add({{"table", std::string(table)}, {"result", std::string(result)}})
+        .Increment();
+}
+
+void router_metrics::observe_change_delay(std::string_view table,
+                                          duration delay)
+{
+    change_delay_.Add({{"table", std::string(table)}}, delay_buckets)
+        .Observe(seconds(delay));
+}
+
+void router_metrics::set_lateness(std::string_view table, duration late)
+{
+    lateness_.Add({{"table", std::string(table)}}).Set(seconds(late));
+}
+
+void router_metrics::count_held_removal()
+{
+    held_removals_.Increment();
+}
+
+void router_metrics::observe_send_delay(duration delay)
+{
+    send_delay_.Observe(seconds(delay));
+}
+
 void router_metrics::count_member_death()
 {
     member_deaths_.Increment();
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -55,6 +55,18 @@
     /// \param result  "taken", "unreadable" or "unanswered"
     void count_state_question(std::string_view result);
 
+    /// Changes of a table came.
+    /// \param result  "taken", "known" or "missing_before"
+    void count_change(std::string_view table, std::string_view result);
+    /// Changes were taken so long after an instance read them from the store.
+    void observe_change_delay(std::string_view table, duration delay);
+    /// Since when a table lacks changes that peers know; zero: it does not.
+    void set_lateness(std::string_view table, duration late);
+    /// A removal of a target that is carried out later.
+    void count_held_removal();
+    /// An attempt went out so long after it was placed.
+    void observe_send_delay(duration delay);
+
     /// A member was declared dead.
     void count_member_death();
     /// Bytes of datagrams to peers.
@@ -97,6 +109,11 @@
     prometheus::Counter& callback_failures_;
     prometheus::Family<prometheus::Counter>& unreadable_rows_;
     prometheus::Family<prometheus::Counter>& state_questions_;
+    prometheus::Family<prometheus::Counter>& changes_;
+    prometheus::Family<prometheus::Histogram>& change_delay_;
+    prometheus::Family<prometheus::Gauge>& lateness_;
+    prometheus::Counter& held_removals_;
+    prometheus::Histogram& send_delay_;
     prometheus::Counter& member_deaths_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
     prometheus::Gauge& in_flight_;
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -28,6 +28,13 @@
 /// counts as a failure of its target.
 constexpr double overdue_factor = 2.5;
 
+std::string describe_out(time_point placed, std::optional<time_point> out)
+{
+    if (!out)
+        return "not out";
+    return "out after " + std::to_string(to_ms(*out - placed)) + "ms";
+}
+
 } // namespace
 
 void request_task::send(const place_on& place, bool hedge)
@@ -47,6 +54,7 @@
     made->slowness = about->slowness(now);
     made->load = about->load(now);
     made->report_age = about->report_age(now);
+    made->revision = context_.known.targets_revision();
     io::target_call_request request;
     request.bytes = format_target_message(
         request_, *record, context_.language.headers, deadline_ - now);
@@ -280,12 +288,18 @@
 // What was known of the target decides the attempt, so it goes beside its end.
 void request_task::note_history(const attempt& ended, std::string_view outcome)
 {
-    char known[96];
+    const auto out = ended.call->out_at();
+    if (out)
+        context_.metrics.observe_send_delay(*out - ended.sent_at);
+    char known[160];
     std::snprintf(known, sizeof known,
-                  " [expected %lldms, load %.1f, report %lldms old]",
+                  " [expected %lldms, load %.1f, report %lldms old, revision "
+                  "%llu, %s]",
                   static_cast<long long>(to_ms(ended.expected)), ended.load,
                   static_cast<long long>(
-                      std::min<std::int64_t>(to_ms(ended.report_age), 99'999)));
+                      std::min<std::int64_t>(to_ms(ended.report_age), 99'999)),
+                  static_cast<unsigned long long>(ended.revision),
+                  describe_out(ended.sent_at, out).c_str());
     const auto taken = to_ms(context_.loop.now() - ended.sent_at);
     history_ += (history_.empty() ? "" : "; ") + ended.target.value + " " +
                 std::to_string(taken) + "ms ";
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -67,10 +67,11 @@
         std::int64_t born = 0; ///< of the target's start
         std::unique_ptr<io::target_call> call;
         time_point sent_at{};
-        duration expected{};   ///< with the target's load and pace
-        double slowness = 1;   ///< of the target when it was sent
-        double load = 0;       ///< of the target when it was sent
-        duration report_age{}; ///< of what was known of the target then
+        duration expected{};        ///< with the target's load and pace
+        double slowness = 1;        ///< of the target when it was sent
+        double load = 0;            ///< of the target when it was sent
+        duration report_age{};      ///< of what was known of the target then
+        std::uint64_t revision = 0; ///< of the targets by which it was placed
         attempt_progress progress{duration(1), 1, time_point{}};
         io::target_answer_head head;
         std::string body;
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -45,7 +45,7 @@
       known_(describe_self(settings, seed), language_.queue_per_slot,
              random_engine(random_())),
       state_(loop, *platform.store, language_, known_, metrics_, log_,
-             random_engine(random_()),
+             random_engine(random_()), settings.drain_time,
              [this](shared_table which, const state_difference& difference) {
                  peers_.pass_on(which, difference);
              }),
--- a/apps/router/router_settings.cpp
+++ b/apps/router/router_settings.cpp
@@ -127,6 +127,7 @@
     result.seeds = read_seeds(reader);
     result.grace_period =
         read_duration(reader, "grace_period", result.grace_period);
+    result.drain_time = read_duration(reader, "drain_time", result.drain_time);
     result.answer_lifetime =
         read_duration(reader, "answer_lifetime", result.answer_lifetime);
     result.repeats.ratio =
@@ -157,6 +158,7 @@
             {"platform_address", io::to_string(settings.platform_address)},
             {"seeds", settings.seeds},
             {"grace_period", format_duration(settings.grace_period)},
+            {"drain_time", format_duration(settings.drain_time)},
             {"answer_lifetime", format_duration(settings.answer_lifetime)},
             {"repeat_ratio", settings.repeats.ratio},
             {"repeat_allowance", settings.repeats.allowance},
--- a/apps/router/router_settings.hpp
+++ b/apps/router/router_settings.hpp
@@ -33,6 +33,9 @@
     io::address platform_address;
     std::vector<std::string> seeds; ///< query addresses of some peers
     duration grace_period = std::chrono::seconds(6);
+    /// For so long a target goes on serving after the store acknowledged that
+    /// it leaves.
+    duration drain_time = std::chrono::seconds(2);
     duration answer_lifetime = std::chrono::seconds(2); ///< of the directory
     repeat_budget_settings repeats;
     io::log_level log_level = io::log_level::info;
--- a/apps/router/state/knowledge.hpp
+++ b/apps/router/state/knowledge.hpp
@@ -24,6 +24,17 @@
     /// After changes of `targets`.
     void refresh_targets(time_point now);
 
+    /// Up to which revision requests are placed by the targets' rows.
+    void set_targets_revision(std::uint64_t revision)
+    {
+        targets_revision_ = revision;
+    }
+
+    std::uint64_t targets_revision() const
+    {
+        return targets_revision_;
+    }
+
     /// After changes of `members`.
     void refresh_members(time_point now);
 
@@ -79,6 +90,7 @@
     route_table routes_;
     bool leaving_ = false;
     bool idle_ = false;
+    std::uint64_t targets_revision_ = 0;
     time_point requested_at_{};
 };
 
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -19,6 +19,8 @@
 /// As base64 it fits into a row of 64 KiB.
 constexpr std::size_t max_member_list_bytes = 48 * 1024;
 constexpr std::string_view from_store;
+/// Part of the time for which leaving targets go on serving.
+constexpr double late_share = 0.25;
 constexpr duration refresh_delay = 20ms;
 /// A platform that has just started has no rows to tell yet.
 constexpr duration read_once_interval = 2s;
@@ -29,9 +31,11 @@
                                    const platform_language& language,
                                    knowledge& known, router_metrics& metrics,
                                    router_log& log, random_engine random,
+                                   duration drain_time,
                                    change_handler on_change)
-    : loop_(loop), store_(store), language_(language), known_(known),
-      metrics_(metrics), log_(log), on_change_(std::move(on_change)),
+    : loop_(loop), store_(store), late_after_(scaled(drain_time, late_share)),
+      language_(language), known_(known), metrics_(metrics), log_(log),
+      on_change_(std::move(on_change)),
       removal_timer_(loop, [this] { finish_target_rows(); }),
       refresh_timer_(loop, [this] { finish_target_rows(); }),
       alive_(std::make_shared<bool>(true))
@@ -174,7 +178,10 @@
 {
     auto targets = targets_.state.since(known.targets);
     targets.after_outage = known_.targets.is_relisting(loop_.now());
-    return {{"operators", to_message(operators_.state.since(known.operators))},
+    auto operators = operators_.state.since(known.operators);
+    operators.age = operators_.clock.age(operators.revision, loop_.now());
+    targets.age = targets_.clock.age(targets.revision, loop_.now());
+    return {{"operators", to_message(operators)},
             {"targets", to_message(targets)},
             {"members", with_members ? tell_members() : json::array()},
             {"limits", with_members
@@ -239,9 +246,53 @@
                              const state_difference& difference,
                              std::string_view peer)
 {
+    auto& table = table_of(which);
+    table.clock.note(difference.revision, loop_.now() - difference.age);
     // What is missing in between is asked for with the next heartbeat.
-    return table_of(which).state.follows(difference) &&
-           apply(which, difference, peer);
+    if (!table.state.follows(difference)) {
+        metrics_.count_change(table.name, "missing_before");
+        return false;
+    }
+    const bool is_new = apply(which, difference, peer);
+    metrics_.count_change(table.name, is_new ? "taken" : "known");
+    return is_new;
+}
+
+void state_controller::note_known(const state_revisions& told)
+{
+    operators_.clock.note(told.operators, loop_.now());
+    targets_.clock.note(told.targets, loop_.now());
+}
+
+void state_controller::watch_lateness()
+{
+    const auto now = loop_.now();
+    for (auto* each : {&operators_, &targets_}) {
+        const auto known = each->state.revision();
+        const auto since = each->clock.missing_since(known);
+        const auto late = since ? now - *since : duration::zero();
+        metrics_.set_lateness(each->name, late);
+        if (known == 0 || late < late_after_ ||
+            std::exchange(each->told_late, true))
+            continue;
+        log_.request(io::log_level::warning, "changes_late",
+                     {{"table", each->name},
+                      {"revision", std::to_string(known)},
+                      {"newest", std::to_string(each->clock.newest())},
+                      {"late_ms", std::to_string(to_ms(late))}});
+    }
+}
+
+void state_controller::note_caught_up(table& each, std::string_view peer)
+{
+    const auto known = each.state.revision();
+    if (!each.told_late || each.clock.missing_since(known))
+        return;
+    each.told_late = false;
+    log_.request(io::log_level::info, "changes_caught_up",
+                 {{"table", each.name},
+                  {"revision", std::to_string(known)},
+                  {"from", peer == from_store ? "store" : std::string(peer)}});
 }
 
 bool state_controller::apply(shared_table which,
@@ -258,8 +309,13 @@
     if (!is_own && after_outage && !known_.targets.is_relisting(now))
         known_.targets.on_list_back(now);
     const auto changed = table.state.apply(difference, now);
+    if (is_own)
+        table.clock.note(table.state.revision(), now);
+    note_caught_up(table, peer);
     if (changed.empty())
         return false;
+    metrics_.observe_change_delay(table.name,
+                                  table.clock.age(difference.revision, now));
     note_taken(table, before, changed.size(), peer);
     (this->*table.take)(changed);
     if (is_own)
@@ -328,7 +384,7 @@
     const target_id id{row.key};
     const auto now = loop_.now();
     if (row.removed) {
-        known_.targets.remove(id, now);
+        remove_target(row);
         return;
     }
     try {
@@ -343,6 +399,19 @@
     }
 }
 
+void state_controller::remove_target(const io::store_row& row)
+{
+    const auto now = loop_.now();
+    known_.targets.remove({row.key}, now);
+    const auto* held = known_.targets.find({row.key});
+    if (!held)
+        return;
+    metrics_.count_held_removal();
+    log_.request(
+        io::log_level::info, "target_removal_held",
+        {{"target", row.key}, {"revision", std::to_string(row.revision)}});
+}
+
 void state_controller::take_target_rows(
     const std::vector<io::store_row>& changed)
 {
@@ -359,6 +428,7 @@
     refresh_is_due_ = false;
     known_.targets.advance(now);
     known_.refresh_targets(now);
+    known_.set_targets_revision(targets_.state.revision());
     if (const auto next = known_.targets.next_removal())
         removal_timer_.start_once(std::max<duration>(*next - now, 1ms));
 }
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -5,6 +5,7 @@
 #include "reporting/router_log.hpp"
 #include "reporting/router_metrics.hpp"
 #include "state/knowledge.hpp"
+#include "state/news_clock.hpp"
 #include "state/state_table.hpp"
 #include "vanillapost/src/io/table_follower.hpp"
 
@@ -31,7 +32,8 @@
     state_controller(io::event_loop& loop, io::row_store& store,
                      const platform_language& language, knowledge& known,
                      router_metrics& metrics, router_log& log,
-                     random_engine random, change_handler on_change);
+                     random_engine random, duration drain_time,
+                     change_handler on_change);
 
     void follow_store();
     void stop_following();
@@ -69,6 +71,12 @@
     bool merge(shared_table which, const state_difference& difference,
                std::string_view peer);
 
+    /// A peer knows the tables up to these revisions.
+    void note_known(const state_revisions& told);
+
+    /// Reports whether this instance lacks changes for long.
+    void watch_lateness();
+
     /// Takes a member that names itself.
     /// \throws error  when it cannot be read, or cannot be reached as it says
     void add_member(const nlohmann::json& document);
@@ -88,6 +96,8 @@
     {
         std::string name;
         state_table state;
+        news_clock clock;
+        bool told_late = false; ///< in the log
         std::unique_ptr<io::table_follower> follower;
         void (state_controller::*take)(const std::vector<io::store_row>&) =
             nullptr;
@@ -111,6 +121,7 @@
     /// \param peer  whom it comes from; empty: the store
     bool apply(shared_table which, const state_difference& difference,
                std::string_view peer);
+    void note_caught_up(table& each, std::string_view peer);
     void note_taken(const table& taken, std::uint64_t before, std::size_t rows,
                     std::string_view peer);
     void take_operator_rows(const std::vector<io::store_row>& changed);
@@ -118,6 +129,7 @@
     void take_targets(std::vector<listed_target> targets);
     void take_evacuated(std::set<data_centre_id> evacuated);
     void take_target_rows(const std::vector<io::store_row>& changed);
+    void remove_target(const io::store_row& row);
     void take_target_row(const io::store_row& row);
     void finish_target_rows();
     nlohmann::json tell_members() const;
@@ -132,6 +144,7 @@
 
     io::event_loop& loop_;
     io::row_store& store_;
+    duration late_after_; ///< lacking changes for so long is logged
     const platform_language& language_;
     knowledge& known_;
     router_metrics& metrics_;
--- a/apps/router/state/state_table.cpp
+++ b/apps/router/state/state_table.cpp
@@ -32,6 +32,18 @@
     return document.get<std::uint64_t>();
 }
 
+// Left out by peers of earlier versions.
+duration parse_age(const json& document)
+{
+    constexpr std::int64_t longest_ms = 3'600'000;
+    const auto found = document.find("age");
+    if (found == document.end())
+        return {};
+    if (!found->is_number_unsigned() || *found > longest_ms)
+        throw error("read state", "", "an age that makes no sense");
+    return std::chrono::milliseconds(found->get<std::int64_t>());
+}
+
 io::store_row parse_row(const json& document, std::uint64_t newest)
 {
     io::store_row row;
@@ -58,6 +70,7 @@
             {"revision", difference.revision},
             {"whole", difference.whole},
             {"after_outage", difference.after_outage},
+            {"age", to_ms(difference.age)},
             {"rows", std::move(rows)}};
 }
 
@@ -69,6 +82,7 @@
         result.revision = parse_revision(document.at("revision"));
         result.whole = document.at("whole").get<bool>();
         result.after_outage = document.at("after_outage").get<bool>();
+        result.age = parse_age(document);
         for (const auto& row : document.at("rows"))
             result.rows.push_back(parse_row(row, result.revision));
         return result;
@@ -102,7 +116,8 @@
         if (parts.empty() || bytes + group > max_bytes) {
             const auto after =
                 parts.empty() ? difference.after : parts.back().revision;
-            parts.push_back({after, 0, false, difference.after_outage, {}});
+            parts.push_back(
+                {after, 0, false, difference.after_outage, {}, difference.age});
             bytes = message_bytes;
         }
         bytes += group;
--- a/apps/router/state/state_table.hpp
+++ b/apps/router/state/state_table.hpp
@@ -20,6 +20,8 @@
     /// The store has just come back: removed targets may list themselves again.
     bool after_outage = false;
     std::vector<io::store_row> rows;
+    /// Since an instance read the newest of it from the store.
+    duration age{};
 };
 
 /// As a part of a message. Keys and values of rows are byte strings: whoever
--- a/include/vanillapost/src/io/detail/target_link.hpp
+++ b/include/vanillapost/src/io/detail/target_link.hpp
@@ -64,6 +64,7 @@
     template <class Callback>
     void guard(std::string_view step, const Callback& callback);
     void open();
+    void note_out();
     void read_answers();
     void take_head(message_head&& head);
     void take_body(std::string_view bytes);
--- a/include/vanillapost/src/io/target_pool.hpp
+++ b/include/vanillapost/src/io/target_pool.hpp
@@ -79,9 +79,16 @@
     void pause();
     void resume();
 
+    /// When the request was written to a connection that stands, if it was.
+    std::optional<time_point> out_at() const
+    {
+        return out_at_;
+    }
+
 private:
     friend class detail::target_link;
     detail::target_link* link_;
+    std::optional<time_point> out_at_;
 };
 
 struct target_pool_settings
--- a/src/io/target_link.cpp
+++ b/src/io/target_link.cpp
@@ -101,6 +101,8 @@
         open();
     bufferevent_write(stream_.get(), request.bytes.data(),
                       request.bytes.size());
+    if (connected_)
+        note_out();
     return call;
 }
 
@@ -116,6 +118,12 @@
     return call;
 }
 
+void target_link::note_out()
+{
+    if (call_)
+        call_->out_at_ = loop_.now();
+}
+
 void target_link::abandon()
 {
     call_ = nullptr;
@@ -253,6 +261,7 @@
         heard_ = loop_.now();
         connect_timer_.cancel();
         set_no_delay(bufferevent_getfd(stream_.get()));
+        note_out();
         return;
     }
     if (!busy_) {
