Show in virtual time how late members of a large fleet learn of changes

Fleets of 6, 30, 189 and 528 members follow changes as the routers do now: parts in exact order, two delegates in each data centre, questions to whoever is ahead, long answers to four askers in 0.4 s. A tenth or a third of the datagrams is lost, links carry 2.5 MB a second, and nobody but three readers reaches the store.

Ruled out: that it takes a disturbed reader or delegate; losses alone suffice.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -25,6 +25,8 @@
   target_sources(test_${name} PRIVATE apps/router/${part}.cpp)
   target_include_directories(test_${name} PRIVATE apps/router)
 endforeach()
+target_sources(test_late_changes PRIVATE apps/router/state/state_table.cpp)
+target_include_directories(test_late_changes PRIVATE apps/router)
 target_sources(test_explain PRIVATE
   apps/explain/explanation.cpp apps/explain/log_reader.cpp)
 target_include_directories(test_explain PRIVATE apps/explain)
