Look once more whether a target is in use when a connection to it stands

Cause: the choice was made when the request was placed; nothing looked again. Class: a decision carried out later than it was made.

Change: a call may ask whether it is still wanted when its connection stands; if not, nothing is written, and the request goes on as one that was not sent. Requests that wait for a slot choose anew each time, and repeats and hedges choose by what is known then, so that these need nothing.

Figures: TargetPool.WhatIsNoLongerWantedWhenConnectedDoesNotGoOut (there was no way to say so before).

--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -60,6 +60,9 @@
         request_, *record, context_.language.headers, deadline_ - now);
     request.id = id_;
     request.head_only = request_.method == "HEAD";
+    request.is_wanted = [this, target = place.target] {
+        return may_still_go(target);
+    };
     request.max_silence =
         may_repeat(rule_.kind) ? max_silence_repeatable : max_silence_once;
     const bool first = ledger_.started() == 0;
@@ -87,6 +90,14 @@
             now + scaled(context_.statistics.expected_work(rule_), first_check);
 }
 
+// A target may have left while its connection was made.
+bool request_task::may_still_go(const target_id& target) const
+{
+    const auto& targets = context_.known.targets;
+    const auto* record = targets.find(target);
+    return record && targets.is_usable(*record, context_.loop.now());
+}
+
 io::target_call_handlers request_task::make_handlers(attempt& made)
 {
     io::target_call_handlers handlers;
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -95,6 +95,7 @@
     void measure(const std::vector<target_id>& targets);
     void wait_for_slot(const return_estimate& room);
     void send(const place_on& place, bool hedge);
+    bool may_still_go(const target_id& target) const;
     io::target_call_handlers make_handlers(attempt& made);
     void take_head(attempt& from, io::target_answer_head&& head);
     void take_data(attempt& from, std::string_view data);
--- a/include/vanillapost/src/io/detail/target_link.hpp
+++ b/include/vanillapost/src/io/detail/target_link.hpp
@@ -84,6 +84,7 @@
     http1_reader reader_;
     target_call* call_ = nullptr;
     target_call_handlers handlers_;
+    std::function<bool()> is_wanted_;
     std::string id_;
     std::string failure_; ///< told on the next turn
     bool connected_ = false;
--- a/include/vanillapost/src/io/target_pool.hpp
+++ b/include/vanillapost/src/io/target_pool.hpp
@@ -63,6 +63,9 @@
     /// A kept connection is used only if it showed a sign of life within this
     /// time: a request lost on a dead one may have run.
     duration max_silence = duration::max();
+    /// Asked once more when a new connection stands: what was wanted when the
+    /// call began may not be by then. Empty: it is wanted.
+    std::function<bool()> is_wanted;
 };
 
 /// A call in flight. Destroying it closes its connection, which is how a
--- a/src/io/target_link.cpp
+++ b/src/io/target_link.cpp
@@ -94,6 +94,7 @@
     skipped_bytes_ = 0;
     handlers_ = std::move(handlers);
     id_ = std::move(request.id);
+    is_wanted_ = std::move(request.is_wanted);
     reader_.expect_no_body(request.head_only);
     auto call = std::make_unique<target_call>(*this);
     call_ = call.get();
@@ -257,6 +258,10 @@
 void target_link::handle_event(short what)
 {
     if (what & BEV_EVENT_CONNECTED) {
+        if (is_wanted_ && !is_wanted_()) {
+            fail("no longer wanted when connected");
+            return;
+        }
         connected_ = true;
         heard_ = loop_.now();
         connect_timer_.cancel();
--- a/test/target_pool.cpp
+++ b/test/target_pool.cpp
@@ -320,6 +320,30 @@
     }
 }
 
+// A request that was placed went out although its target had left meanwhile.
+TEST(TargetPool, WhatIsNoLongerWantedWhenConnectedDoesNotGoOut)
+{
+    pooled p;
+    noted call;
+    bool asked = false;
+    call.call = p.pool.start({.bytes = request_bytes,
+                              .id = "1",
+                              .is_wanted =
+                                  [&] {
+                                      asked = true;
+                                      return false;
+                                  }},
+                             call.handlers());
+    p.await(call);
+    EXPECT_TRUE(asked);
+    ASSERT_TRUE(call.failure);
+    EXPECT_FALSE(call.failure->sent);
+    run_until(p.loop, [&] {
+        return !p.target.streams.empty() && p.target.streams[0]->closed;
+    });
+    EXPECT_TRUE(p.target.streams[0]->received.empty());
+}
+
 TEST(TargetPool, InterimAnswersAreSkipped)
 {
     pooled p;
