Let each row bind by itself, and ask for lost changes by their revisions

Cause: rows passed through one cursor. A member that lost one datagram threw away all that came after it, also as a delegate for its data centre; what repaired it was a question for everything since the cursor, to the few that were ahead, who gave long answers to four askers in 0.4 s. Class: waiting for completeness where each part could be used by itself, and repair by few.

Ruled out: datagrams that were not sent (readers read all the while).

Change: a row binds when it comes; of which revisions all changes are known is kept as spans. Gaps between them are asked for by their bounds, of members drawn at random, half of them near, one in eight known to be ahead; answers are datagrams like any change, bounded for each member. Changes of many rows are passed on, paced, each reader in its own order. Rows too long for a datagram are fetched by delegates, and from these by their data centre. Removals beyond a gap are not forgotten, and a row older than what was forgotten binds nothing.

--- a/apps/router/languages/platform_language.hpp
+++ b/apps/router/languages/platform_language.hpp
@@ -59,6 +59,8 @@
 struct row_schema
 {
     std::string operator_table;
+    /// Each of the operators' rows can be read without the others.
+    bool operator_rows_stand_alone = false;
     /// Where targets list themselves; empty when operators list them.
     std::string target_table;
     std::string member_table;
--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -21,9 +21,9 @@
 constexpr duration peer_wait = 700ms;
 /// Seeds may start a little later than those that greet them.
 constexpr duration greeting_interval = 100ms;
-/// A change that is passed on may still be on its way when a heartbeat tells
-/// of it.
-constexpr duration relay_time = 40ms;
+/// Changes that are still missing after this are asked for all at once: what
+/// was lost is asked for by its revisions before (\ref gap_repair).
+constexpr duration repair_time = 2s;
 constexpr duration member_list_interval = 10s;
 /// How often an instance that hears nobody looks for others in the store.
 constexpr duration member_read_interval = 5s;
@@ -64,10 +64,12 @@
               },
               [this](const json& message) { send_to_peers("death", message); },
               [this] { send_heartbeat(); }}),
-      changes_(loop, known, state, random_engine(random_()),
-               [this](const member& to, std::string_view bytes) {
-                   send("change", to, bytes);
-               }),
+      changes_(loop, known, state, log, random_engine(random_()),
+               {[this](std::string_view kind, const member& to,
+                       std::string_view bytes) { send(kind, to, bytes); },
+                [this](std::string_view kind, const io::address& to,
+                       std::string_view bytes) { answer(kind, to, bytes); },
+                [this](const io::address& peer) { ask_peer_at(peer); }}),
       question_(loop, state, metrics, log,
                 [this](question_end how) { note_answer(how); }),
       join_timer_(loop, [this] { join(); }),
@@ -198,6 +200,14 @@
     socket_.send(io::parse_address(to.peer_address), bytes);
 }
 
+void peer_controller::answer(std::string_view kind, const io::address& to,
+                             std::string_view bytes)
+{
+    // Mostly asked by near ones; which it is does not pay for a look.
+    metrics_.count_peer_bytes(kind, false, bytes.size());
+    socket_.send(to, bytes);
+}
+
 void peer_controller::send_to_peers(std::string_view kind, const json& message)
 {
     const auto bytes = write_message(message);
@@ -302,7 +312,7 @@
         watch_.take(message);
         return;
     }
-    changes_.take(message, from.ip);
+    changes_.take(from, message);
 }
 
 void peer_controller::take_hello(const io::address& from, const json& message)
@@ -334,15 +344,17 @@
         known_.refresh_members(now);
     compare_view(heartbeat);
     state_.note_known(heartbeat.revisions);
-    if (state_.revisions().is_behind(heartbeat.revisions) &&
-        !question_.is_open())
-        ask_timer_.start_once(
-            state_.revisions() == state_revisions{} ? duration(1) : relay_time);
+    changes_.look_for_gaps();
+    const bool knows_nothing = state_.revisions() == state_revisions{};
+    if (knows_nothing && !question_.is_open())
+        ask_timer_.start_once(duration(1));
 }
 
 void peer_controller::ask_if_behind()
 {
-    if (question_.is_open())
+    const bool is_due = !members_told_ || state_.is_late(repair_time) ||
+                        changes_.awaits_long_change();
+    if (question_.is_open() || !is_due)
         return;
     std::vector<member> knowing;
     for (const auto& peer : known_.members.live_peers(loop_.now()))
@@ -353,6 +365,16 @@
         question_.ask(knowing[random_() % knowing.size()], !members_told_);
 }
 
+// A peer has changes that are too long for datagrams.
+void peer_controller::ask_peer_at(const io::address& where)
+{
+    const auto address = io::to_string(where);
+    const auto peers = known_.members.peers();
+    const auto found = std::ranges::find(peers, address, &member::peer_address);
+    if (found != peers.end() && !question_.is_open())
+        question_.ask(*found, false);
+}
+
 // Whoever starts together with many others is told by no peer in time; the
 // store can tell all of them.
 void peer_controller::read_if_untold()
@@ -371,6 +393,8 @@
         return;
     }
     members_told_ = members_told_ || how == question_end::taken;
+    if (how == question_end::taken)
+        changes_.on_state_told();
     // Others may be like one of another version.
     if (how == question_end::unreadable)
         reader_.need_store(loop_.now());
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -61,6 +61,8 @@
     void beat();
     void keep_in_touch();
     void send(std::string_view kind, const member& to, std::string_view bytes);
+    void answer(std::string_view kind, const io::address& to,
+                std::string_view bytes);
     void send_to_peers(std::string_view kind, const nlohmann::json& message);
     void send_heartbeat();
     void send_heartbeat_once();
@@ -73,6 +75,7 @@
     void take_heartbeat(const io::address& from, const nlohmann::json& message);
     void choose_source();
     void ask_if_behind();
+    void ask_peer_at(const io::address& where);
     void read_if_untold();
     void note_answer(question_end how);
     void compare_view(const member_heartbeat& heartbeat);
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -40,6 +40,7 @@
       refresh_timer_(loop, [this] { finish_target_rows(); }),
       alive_(std::make_shared<bool>(true))
 {
+    operators_.rows_stand_alone = language.rows.operator_rows_stand_alone;
     operators_.take = &state_controller::take_operator_rows;
     targets_.take = &state_controller::take_target_rows;
     set_up(shared_table::operators, language.rows.operator_table, store,
@@ -60,15 +61,13 @@
         note_access(true);
         apply(which, {0, revision, true, false, rows}, from_store);
     };
-    handlers.on_changed = [this,
-                           which](const std::vector<io::store_row>& rows) {
+    handlers.on_changed = [this, which](const std::vector<io::store_row>& rows,
+                                        std::uint64_t after) {
         note_access(true);
         std::uint64_t newest = 0;
         for (const auto& row : rows)
             newest = std::max(newest, row.revision);
-        apply(which,
-              {table_of(which).state.revision(), newest, false, false, rows},
-              from_store);
+        apply(which, {after, newest, false, false, rows}, from_store);
     };
     handlers.on_lost = [this, which](const io::store_failure& failure) {
         note_access(false);
@@ -177,10 +176,9 @@
                                   bool with_members) const
 {
     auto targets = targets_.state.since(known.targets);
-    targets.after_outage = known_.targets.is_relisting(loop_.now());
+    fill_in(shared_table::targets, targets);
     auto operators = operators_.state.since(known.operators);
-    operators.age = operators_.clock.age(operators.revision, loop_.now());
-    targets.age = targets_.clock.age(targets.revision, loop_.now());
+    fill_in(shared_table::operators, operators);
     return {{"operators", to_message(operators)},
             {"targets", to_message(targets)},
             {"members", with_members ? tell_members() : json::array()},
@@ -189,6 +187,34 @@
                            : json::array()}};
 }
 
+// What a peer is told beside the rows.
+void state_controller::fill_in(shared_table which, state_difference& told) const
+{
+    const auto now = loop_.now();
+    told.age = table_of(which).clock.age(told.revision, now);
+    if (which != shared_table::targets)
+        return;
+    told.after_outage = known_.targets.is_relisting(now);
+}
+
+std::vector<revision_span> state_controller::gaps(shared_table which) const
+{
+    const auto& table = table_of(which);
+    if (table.state.revision() == 0)
+        return {};
+    return table.state.gaps(table.clock.newest());
+}
+
+std::vector<state_difference>
+state_controller::within(shared_table which,
+                         std::span<const revision_span> spans) const
+{
+    auto result = table_of(which).state.within(spans);
+    for (auto& each : result)
+        fill_in(which, each);
+    return result;
+}
+
 void state_controller::merge(const json& difference, std::string_view peer)
 {
     try {
@@ -248,13 +274,15 @@
 {
     auto& table = table_of(which);
     table.clock.note(difference.revision, loop_.now() - difference.age);
-    // What is missing in between is asked for with the next heartbeat.
-    if (!table.state.follows(difference)) {
+    const bool follows = table.state.follows(difference);
+    if (!follows && !table.rows_stand_alone) {
         metrics_.count_change(table.name, "missing_before");
         return false;
     }
     const bool is_new = apply(which, difference, peer);
-    metrics_.count_change(table.name, is_new ? "taken" : "known");
+    metrics_.count_change(table.name, !is_new   ? "known"
+                                      : follows ? "taken"
+                                                : "taken_early");
     return is_new;
 }
 
@@ -264,6 +292,15 @@
     targets_.clock.note(told.targets, loop_.now());
 }
 
+bool state_controller::is_late(duration limit) const
+{
+    return std::ranges::any_of(followed_tables(), [&](const auto* each) {
+        const auto known = each->state.revision();
+        const auto since = each->clock.missing_since(known);
+        return known == 0 || (since && loop_.now() - *since >= limit);
+    });
+}
+
 void state_controller::watch_lateness()
 {
     const auto now = loop_.now();
@@ -319,11 +356,30 @@
     note_taken(table, before, changed.size(), peer);
     (this->*table.take)(changed);
     if (is_own)
-        on_change_(which, {before, table.state.revision(), difference.whole,
-                           known_.targets.is_relisting(now), changed});
+        pass_on(which, difference, before, changed);
     return true;
 }
 
+// Rows that came early are among those that peers may lack. Of a whole table
+// only the rows are passed on: others came and went before it.
+void state_controller::pass_on(shared_table which, const state_difference& read,
+                               std::uint64_t before,
+                               const std::vector<io::store_row>& changed)
+{
+    state_difference told{std::max(before, read.after), read.revision, false,
+                          false, changed};
+    if (read.whole) {
+        told.after = told.revision;
+    } else {
+        told.rows = read.rows;
+        std::erase_if(told.rows, [&](const io::store_row& row) {
+            return row.revision <= told.after;
+        });
+    }
+    fill_in(which, told);
+    on_change_(which, told);
+}
+
 void state_controller::note_taken(const table& taken, std::uint64_t before,
                                   std::size_t rows, std::string_view peer)
 {
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -6,20 +6,16 @@
 #include "reporting/router_metrics.hpp"
 #include "state/knowledge.hpp"
 #include "state/news_clock.hpp"
+#include "state/shared_table.hpp"
 #include "state/state_table.hpp"
 #include "vanillapost/src/io/table_follower.hpp"
 
 #include <memory>
+#include <span>
+#include <vector>
 
 namespace vanillapost::router {
 
-/// The tables whose changes instances pass on to each other.
-enum class shared_table
-{
-    operators,
-    targets
-};
-
 /// Keeps the knowledge up to date with the platform's store, which it follows
 /// itself or hears of from peers. Rows that cannot be read are left out.
 class state_controller
@@ -66,14 +62,25 @@
     /// \throws error  when it cannot be read
     void merge(const nlohmann::json& difference, std::string_view peer);
 
-    /// Takes over changes of one table, unless some before them are missing.
-    /// \return whether anything was new
+    /// Takes over changes of one table.
+    /// \return whether a row was new
     bool merge(shared_table which, const state_difference& difference,
                std::string_view peer);
 
+    /// The changes of a table that are known to exist and are missing here,
+    /// the oldest first; none while the table is not known at all.
+    std::vector<revision_span> gaps(shared_table which) const;
+
+    /// What is known here of changes that a peer lacks.
+    std::vector<state_difference>
+    within(shared_table which, std::span<const revision_span> spans) const;
+
     /// A peer knows the tables up to these revisions.
     void note_known(const state_revisions& told);
 
+    /// Whether a table is not known at all, or has lacked a change for so long.
+    bool is_late(duration limit) const;
+
     /// Reports whether this instance lacks changes for long.
     void watch_lateness();
 
@@ -98,6 +105,8 @@
         state_table state;
         news_clock clock;
         bool told_late = false; ///< in the log
+        /// Each row can be read without the others.
+        bool rows_stand_alone = true;
         std::unique_ptr<io::table_follower> follower;
         void (state_controller::*take)(const std::vector<io::store_row>&) =
             nullptr;
@@ -116,11 +125,20 @@
         return which == shared_table::operators ? operators_ : targets_;
     }
 
+    const table& table_of(shared_table which) const
+    {
+        return which == shared_table::operators ? operators_ : targets_;
+    }
+
     void set_up(shared_table which, const std::string& name,
                 io::row_store& store, random_engine random);
     /// \param peer  whom it comes from; empty: the store
     bool apply(shared_table which, const state_difference& difference,
                std::string_view peer);
+    void pass_on(shared_table which, const state_difference& read,
+                 std::uint64_t before,
+                 const std::vector<io::store_row>& changed);
+    void fill_in(shared_table which, state_difference& told) const;
     void note_caught_up(table& each, std::string_view peer);
     void note_taken(const table& taken, std::uint64_t before, std::size_t rows,
                     std::string_view peer);
--- a/apps/router/state/state_table.hpp
+++ b/apps/router/state/state_table.hpp
@@ -1,51 +1,33 @@
 #ifndef VANILLAPOST_APPS_ROUTER_STATE_STATE_TABLE_HPP
 #define VANILLAPOST_APPS_ROUTER_STATE_STATE_TABLE_HPP
 
-#include "vanillapost/base.hpp"
-#include "vanillapost/src/io/row_store.hpp"
+#include "state/revision_spans.hpp"
+#include "state/state_difference.hpp"
 
-#include <functional>
 #include <map>
-#include <nlohmann/json.hpp>
+#include <span>
 #include <vector>
 
 namespace vanillapost::router {
 
-/// Rows of a table of the store that one instance has and another lacks.
-struct state_difference
-{
-    std::uint64_t after = 0;    ///< what the other must know already
-    std::uint64_t revision = 0; ///< what it knows afterwards
-    bool whole = false; ///< all rows: what is not among them was removed
-    /// The store has just come back: removed targets may list themselves again.
-    bool after_outage = false;
-    std::vector<io::store_row> rows;
-    /// Since an instance read the newest of it from the store.
-    duration age{};
-};
-
-/// As a part of a message. Keys and values of rows are byte strings: whoever
-/// writes them may write anything.
-nlohmann::json to_message(const state_difference& difference);
-
-/// \throws error  when a field is missing or of another type
-state_difference parse_state_difference(const nlohmann::json& document);
-
-/// The difference in parts that are applied one after the other, each for a
-/// message of about `max_bytes`; none when it cannot be cut so, as the rows of
-/// one revision stay together.
-std::vector<state_difference> split(const state_difference& difference,
-                                    std::size_t max_bytes);
-
 /// A copy of one table of the store. Rows never go back, whichever way and in
 /// whichever order news of them arrives.
+///
+/// A row binds as soon as it comes, also where changes before it are missing.
+/// That a key is absent is known only up to `revision`.
 class state_table
 {
 public:
-    /// Revision of the newest change; 0 before the first reading.
+    /// Up to this revision no change is missing; 0 before the first reading.
     std::uint64_t revision() const
     {
-        return revision_;
+        return known_.complete();
+    }
+
+    /// The changes up to `newest` that are missing, the oldest first.
+    std::vector<revision_span> gaps(std::uint64_t newest) const
+    {
+        return known_.gaps(newest);
     }
 
     /// Takes over what is new.
@@ -53,15 +35,21 @@
     std::vector<io::store_row> apply(const state_difference& difference,
                                      time_point now);
 
-    /// Whether a difference can be applied: nothing is missing before it.
+    /// Whether nothing is missing before a difference.
     bool follows(const state_difference& difference) const
     {
-        return difference.whole || difference.after <= revision_;
+        return difference.whole || difference.after <= revision();
     }
 
     /// What an instance lacks that knows the table up to `revision`.
     state_difference since(std::uint64_t revision) const;
 
+    /// What is known here of the changes of some spans, for an instance that
+    /// lacks them: a difference for each part of them that is known.
+    /// \param spans  apart from each other, the oldest first
+    std::vector<state_difference>
+    within(std::span<const revision_span> spans) const;
+
     const std::map<std::string, io::store_row>& rows() const
     {
         return rows_;
@@ -75,12 +63,15 @@
         time_point at;
     };
 
+    void remove_unlisted(const state_difference& whole, time_point now,
+                         std::vector<io::store_row>& changed);
+    bool may_be_removed(const io::store_row& row) const;
     bool put(const io::store_row& row, time_point now);
     void forget_removals(time_point now);
 
     std::map<std::string, io::store_row> rows_; ///< removed ones too
     std::vector<removal> removals_;
-    std::uint64_t revision_ = 0;
+    revision_spans known_;
     std::uint64_t forgotten_ = 0; ///< up to where removals are not known
 };
 
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -20,13 +20,35 @@
 foreach(name platform_decode store_client)
   target_link_libraries(test_${name} PRIVATE vanillapost_platform)
 endforeach()
-foreach(part router_settings state/state_table targets/target_message)
+foreach(part router_settings targets/target_message)
   get_filename_component(name ${part} NAME)
   target_sources(test_${name} PRIVATE apps/router/${part}.cpp)
   target_include_directories(test_${name} PRIVATE apps/router)
 endforeach()
-target_sources(test_late_changes PRIVATE apps/router/state/state_table.cpp)
-target_include_directories(test_late_changes PRIVATE apps/router)
+foreach(name state_table late_changes change_repair)
+  target_sources(test_${name} PRIVATE
+    apps/router/peers/change_messages.cpp
+    apps/router/peers/gap_repair.cpp
+    apps/router/state/news_clock.cpp
+    apps/router/state/revision_spans.cpp
+    apps/router/state/state_difference.cpp
+    apps/router/state/state_table.cpp)
+  target_include_directories(test_${name} PRIVATE apps/router)
+endforeach()
+# Hundreds of members in virtual time take a while.
+set(largest "*528Members*")
+set(largest_burst "*Burst/528MembersThatLose33In100")
+set_tests_properties(late_changes PROPERTIES
+  ENVIRONMENT "GTEST_FILTER=-${largest}")
+foreach(part "528_members:${largest}-${largest_burst}"
+        "528_members_in_a_burst:${largest_burst}")
+  string(REPLACE ":" ";" part "${part}")
+  list(GET part 0 name)
+  list(GET part 1 filter)
+  add_test(NAME late_changes_${name} COMMAND test_late_changes)
+  set_tests_properties(late_changes_${name} PROPERTIES
+    ENVIRONMENT "GTEST_FILTER=${filter}" TIMEOUT 300)
+endforeach()
 target_sources(test_explain PRIVATE
   apps/explain/explanation.cpp apps/explain/log_reader.cpp)
 target_include_directories(test_explain PRIVATE apps/explain)
--- a/include/vanillapost/src/io/table_follower.hpp
+++ b/include/vanillapost/src/io/table_follower.hpp
@@ -27,8 +27,9 @@
 {
     /// The whole table, and the store's revision when it was read.
     std::function<void(const std::vector<store_row>&, std::uint64_t)> on_read;
-    /// Rows in the order of their changes.
-    std::function<void(const std::vector<store_row>&)> on_changed;
+    /// Rows in the order of their changes: all that changed after a revision.
+    std::function<void(const std::vector<store_row>&, std::uint64_t after)>
+        on_changed;
     std::function<void(const store_failure&)> on_lost; ///< once an outage
     std::function<void()> on_back;
 };
@@ -93,6 +94,7 @@
     std::vector<store_row> pages_;
     std::uint64_t read_revision_ = 0; ///< of the first page being read
     std::uint64_t revision_ = 0;
+    std::uint64_t told_ = 0; ///< newest change that the handlers know
     bool once_ = false;
     bool needs_read_ = true;
     bool reachable_ = true;
--- a/src/io/table_follower.cpp
+++ b/src/io/table_follower.cpp
@@ -27,6 +27,7 @@
     started_ = true;
     alive_ = std::make_shared<bool>(true);
     revision_ = known_revision;
+    told_ = known_revision;
     needs_read_ = known_revision == 0;
     reachable_ = true;
     confirmed_ = false;
@@ -85,6 +86,7 @@
     }
     needs_read_ = false;
     revision_ = std::max(revision_, read_revision_);
+    told_ = read_revision_;
     const auto rows = std::exchange(pages_, {});
     const bool back = note_answer();
     // Before the handlers: it must go on when one of them fails.
@@ -121,8 +123,12 @@
     timer_.start_once(settings_.batch_delay);
     if (back)
         handlers_.on_back();
-    if (!changes.rows.empty())
-        handlers_.on_changed(changes.rows);
+    if (changes.rows.empty())
+        return;
+    const auto after = told_;
+    for (const auto& row : changes.rows)
+        told_ = std::max(told_, row.revision);
+    handlers_.on_changed(changes.rows, after);
 }
 
 bool table_follower::note_answer()
