Tell an outage of the store from one that it turns away alone

Cause: after an outage removals are held back, since targets list themselves again then. An instance that was turned away alone took that for an outage and told others; each who was told began 2.5 s anew and told others in turn. So in such times removals were held back everywhere. Class: one's own view taken for that of all, passed on without an end.

Ruled out: that the held removals are those of a real outage (the store answered the others all the while).

Change: whoever has no answer of the store takes it for an outage only if no change has come from anybody for a second; a store that is away takes none, and in a shorter outage no entry lapses. Peers are told for how long removals are still held back, so that the time ends for all together.

--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -76,8 +76,9 @@
     };
     handlers.on_back = [this, which] {
         note_access(true);
-        if (which == shared_table::targets)
-            known_.targets.on_list_back(loop_.now());
+        const auto now = loop_.now();
+        if (which == shared_table::targets && outage_.may_be_outage(now))
+            known_.targets.on_list_back(now);
         log_.state(io::log_level::info, "store_back",
                    {{"table", table_of(which).name}});
     };
@@ -194,7 +195,8 @@
     told.age = table_of(which).clock.age(told.revision, now);
     if (which != shared_table::targets)
         return;
-    told.after_outage = known_.targets.is_relisting(now);
+    told.relist_left = known_.targets.relist_left(now);
+    told.after_outage = told.relist_left > duration::zero();
 }
 
 std::vector<revision_span> state_controller::gaps(shared_table which) const
@@ -340,11 +342,8 @@
     const bool is_own = peer == from_store;
     const auto now = loop_.now();
     const auto before = table.state.revision();
-    // Who finds the store lost knows of the outage without being told.
-    const bool after_outage =
-        difference.after_outage || access() == store_access::lost;
-    if (!is_own && after_outage && !known_.targets.is_relisting(now))
-        known_.targets.on_list_back(now);
+    if (which == shared_table::targets)
+        note_outage(difference, is_own);
     const auto changed = table.state.apply(difference, now);
     if (is_own)
         table.clock.note(table.state.revision(), now);
@@ -354,12 +353,25 @@
     metrics_.observe_change_delay(table.name,
                                   table.clock.age(difference.revision, now));
     note_taken(table, before, changed.size(), peer);
+    if (which == shared_table::targets)
+        outage_.on_news(now);
     (this->*table.take)(changed);
     if (is_own)
         pass_on(which, difference, before, changed);
     return true;
 }
 
+// Who finds the store lost knows of an outage without being told.
+void state_controller::note_outage(const state_difference& difference,
+                                   bool is_own)
+{
+    const auto now = loop_.now();
+    known_.targets.on_told_relisting(difference.relist_left, now);
+    if (!is_own && access() == store_access::lost &&
+        outage_.may_be_outage(now) && !known_.targets.is_relisting(now))
+        known_.targets.on_list_back(now);
+}
+
 // Rows that came early are among those that peers may lack. Of a whole table
 // only the rows are passed on: others came and went before it.
 void state_controller::pass_on(shared_table which, const state_difference& read,
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -6,6 +6,7 @@
 #include "reporting/router_metrics.hpp"
 #include "state/knowledge.hpp"
 #include "state/news_clock.hpp"
+#include "state/outage_watch.hpp"
 #include "state/shared_table.hpp"
 #include "state/state_table.hpp"
 #include "vanillapost/src/io/table_follower.hpp"
@@ -135,6 +136,7 @@
     /// \param peer  whom it comes from; empty: the store
     bool apply(shared_table which, const state_difference& difference,
                std::string_view peer);
+    void note_outage(const state_difference& difference, bool is_own);
     void pass_on(shared_table which, const state_difference& read,
                  std::uint64_t before,
                  const std::vector<io::store_row>& changed);
@@ -175,6 +177,7 @@
     bool refresh_is_due_ = false;
     time_point read_once_at_{};
     std::shared_ptr<bool> alive_; ///< false once destroyed; held by callbacks
+    outage_watch outage_;
     bool following_ = false;
     bool works_ = false;
     freshness freshness_;
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -25,7 +25,7 @@
   target_sources(test_${name} PRIVATE apps/router/${part}.cpp)
   target_include_directories(test_${name} PRIVATE apps/router)
 endforeach()
-foreach(name state_table late_changes change_repair)
+foreach(name state_table late_changes change_repair outage_watch)
   target_sources(test_${name} PRIVATE
     apps/router/peers/change_messages.cpp
     apps/router/peers/gap_repair.cpp
--- a/include/vanillapost/src/targets/target_catalog.hpp
+++ b/include/vanillapost/src/targets/target_catalog.hpp
@@ -41,8 +41,16 @@
     /// The list answers again after an outage.
     void on_list_back(time_point now);
 
-    /// Whether targets may still be about to list themselves again.
-    bool is_relisting(time_point now) const;
+    /// A peer knows that targets may list themselves again for so long.
+    void on_told_relisting(duration left, time_point now);
+
+    /// For how long targets may still be about to list themselves again.
+    duration relist_left(time_point now) const;
+
+    bool is_relisting(time_point now) const
+    {
+        return relist_left(now) > duration::zero();
+    }
 
     /// Takes a data centre out, or back in. Its targets get no work while it
     /// is out.
@@ -113,7 +121,7 @@
     std::set<data_centre_id> evacuated_;
     departure_notes departures_;
     rate_limits limits_;
-    std::optional<time_point> list_back_;
+    time_point relisting_until_{};
 };
 
 } // namespace vanillapost
--- a/src/targets/target_catalog.cpp
+++ b/src/targets/target_catalog.cpp
@@ -58,12 +58,19 @@
 
 void target_catalog::on_list_back(time_point now)
 {
-    list_back_ = now;
+    relisting_until_ = now + settings_.relist_window;
 }
 
-bool target_catalog::is_relisting(time_point now) const
+// It ends for all together, however often they tell each other.
+void target_catalog::on_told_relisting(duration left, time_point now)
 {
-    return list_back_ && now < *list_back_ + settings_.relist_window;
+    const auto bounded = std::min(left, settings_.relist_window);
+    relisting_until_ = std::max(relisting_until_, now + bounded);
+}
+
+duration target_catalog::relist_left(time_point now) const
+{
+    return std::max<duration>(relisting_until_ - now, duration::zero());
 }
 
 void target_catalog::set_evacuated(std::set<data_centre_id> data_centres)
