--- a/apps/router/peers/change_relay.cpp
+++ b/apps/router/peers/change_relay.cpp
@@ -157,8 +157,8 @@
 
 bool change_relay::awaits_long_change() const
 {
-    return awaited_ &&
-           revision_of(awaited_->table, state_.revisions()) < awaited_->revision;
+    return awaited_ && revision_of(awaited_->table, state_.revisions()) <
+                           awaited_->revision;
 }
 
 void change_relay::on_state_told()
--- a/apps/router/peers/change_relay.hpp
+++ b/apps/router/peers/change_relay.hpp
@@ -86,7 +86,7 @@
     io::timer ask_timer_;
     bool asking_ = false;
     std::optional<long_change> awaited_; ///< was told of, is not known yet
-    std::array<gap_repair, 2> repairs_; ///< by table
+    std::array<gap_repair, 2> repairs_;  ///< by table
     repair_budget budget_;
 };
 
--- a/apps/router/state/state_difference.cpp
+++ b/apps/router/state/state_difference.cpp
@@ -197,12 +197,14 @@
             const state_difference& difference)
 {
     auto reached = difference.after;
+    std::size_t rows = 0;
     for (const auto& part : parts) {
         if (part.after > reached)
             return false;
         reached = std::max(reached, part.revision);
+        rows += part.rows.size();
     }
-    return reached >= difference.revision;
+    return reached >= difference.revision && rows == difference.rows.size();
 }
 
 } // namespace vanillapost::router
--- a/apps/router/state/state_difference.hpp
+++ b/apps/router/state/state_difference.hpp
@@ -49,7 +49,7 @@
 std::vector<state_difference> split(const state_difference& difference,
                                     std::size_t max_bytes);
 
-/// Whether parts of a difference leave out none of its revisions.
+/// Whether parts of a difference leave out none of its rows and revisions.
 bool covers(std::span<const state_difference> parts,
             const state_difference& difference);
 
--- a/test/state_table.cpp
+++ b/test/state_table.cpp
@@ -79,6 +79,21 @@
     RC_ASSERT(in_parts.revision() == whole.revision);
 }
 
+// A configuration that was read after the history was lost came late.
+TEST(StateMessage, PartsTellWhetherALongRowWasLeftOut)
+{
+    const io::store_row longer{"k", std::string(400, 'x'), 7, false};
+    for (const std::uint64_t after : {5, 7}) {
+        const state_difference told{
+            after, 7, false, false, {put("a", 6), longer}};
+        const auto parts = split(told, 300);
+        EXPECT_EQ(parts.size(), 1u);
+        EXPECT_FALSE(covers(parts, told));
+        const state_difference shorter{after, 7, false, false, {put("a", 6)}};
+        EXPECT_TRUE(covers(split(shorter, 300), shorter));
+    }
+}
+
 TEST(StateMessage, AWholeTableAndALongRowAreNotCut)
 {
     EXPECT_TRUE(split({0, 7, true, false, {put("k", 7)}}, 300).empty());
