--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -56,7 +56,8 @@
     void count_state_question(std::string_view result);
 
     /// Changes of a table came.
-    /// \param result  "taken", "known" or "missing_before"
+    /// \param result  "taken", "known", "taken_early" (changes before
+    ///                it are missing) or "missing_before" (not taken for that)
     void count_change(std::string_view table, std::string_view result);
     /// Changes were taken so long after an instance read them from the store.
     void observe_change_delay(std::string_view table, duration delay);
