--- a/apps/router/peers/change_relay.cpp
+++ b/apps/router/peers/change_relay.cpp
@@ -38,9 +38,9 @@
 } // namespace
 
 change_relay::change_relay(io::event_loop& loop, knowledge& known,
-                           state_controller& state, router_log& log,
-                           random_engine random, relay_links links)
-    : loop_(loop), known_(known), state_(state), log_(log), random_(random),
+                           state_controller& state, random_engine random,
+                           relay_links links)
+    : loop_(loop), known_(known), state_(state), random_(random),
       links_(std::move(links)), parcel_timer_(loop, [this] { send_next(); }),
       ask_timer_(loop, [this] { ask(); }),
       repairs_{gap_repair(random_engine(random_())),
--- a/apps/router/peers/change_relay.hpp
+++ b/apps/router/peers/change_relay.hpp
@@ -3,7 +3,6 @@
 
 #include "peers/change_messages.hpp"
 #include "peers/gap_repair.hpp"
-#include "reporting/router_log.hpp"
 #include "state/knowledge.hpp"
 #include "state/state_controller.hpp"
 
@@ -40,7 +39,7 @@
 {
 public:
     change_relay(io::event_loop& loop, knowledge& known,
-                 state_controller& state, router_log& log, random_engine random,
+                 state_controller& state, random_engine random,
                  relay_links links);
 
     /// Passes on what was read from the store here.
@@ -78,7 +77,6 @@
     io::event_loop& loop_;
     knowledge& known_;
     state_controller& state_;
-    router_log& log_;
     random_engine random_;
     relay_links links_;
     std::deque<std::string> parcels_; ///< of large changes, still to be sent
