--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -353,6 +353,8 @@
     const auto changed = table.state.apply(difference, now);
     if (is_from_store)
         table.clock.note(table.state.revision(), now);
+    if (is_from_store && changed.empty() && !difference.rows.empty())
+        log_ignored_rows(table, difference, before);
     log_caught_up(table, peer);
     if (changed.empty())
         return false;
@@ -414,6 +416,20 @@
                   {"rows", std::to_string(rows)}});
 }
 
+// Rows that the store tells are usually new. Ones that are not show a store
+// that has gone back, or an answer that was overtaken.
+void state_controller::log_ignored_rows(const table& of,
+                                        const state_difference& difference,
+                                        std::uint64_t known)
+{
+    log_.request(io::log_level::info, "rows_ignored",
+                 {{"table", of.name},
+                  {"whole", difference.whole ? "yes" : "no"},
+                  {"revision", std::to_string(difference.revision)},
+                  {"known", std::to_string(known)},
+                  {"rows", std::to_string(difference.rows.size())}});
+}
+
 void state_controller::apply_operator_rows(
     const std::vector<io::store_row>& changed)
 {
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -152,6 +152,8 @@
     void log_caught_up(table& each, std::string_view peer);
     void log_applied_rows(const table& changed_table, std::uint64_t before,
                           std::size_t rows, std::string_view peer);
+    void log_ignored_rows(const table& of, const state_difference& difference,
+                          std::uint64_t known);
     void apply_operator_rows(const std::vector<io::store_row>& changed);
     void adopt(configuration config);
     void replace_targets(std::vector<listed_target> targets);
