Order revisions by the store's epoch first; hold what a restored copy lacks

What callers saw: after the store came back from an older copy, confirmed changes were in force nowhere, and routes that were added got 404 (CONFIG, DENIED).

Cause: all knowledge was ordered by the store's revision, which a restored store gives out again. Rows and tables that it told counted as known, and the feed was asked for changes after a revision that did not exist, so that readers read the whole table every 20 ms.

Ruled out: a configuration version that falls (no document was refused).

Change: a revision has the store's epoch in its upper bits; the adapter reads it from each answer. The follower reads the table again when the epoch is another, and refuses an answer of an earlier one. A member that hears of a later epoch from a peer asks for its state at once, and does not rely on readers of an earlier one. The list of members is written again. The stand-ins of both platforms and the soak restore the store.

Open: claims of idempotency keys that the copy lacks, and an instance that starts before the operators have written again.

--- a/apps/router/adapters/platform_adapter.hpp
+++ b/apps/router/adapters/platform_adapter.hpp
@@ -61,6 +61,9 @@
     std::string operator_table;
     /// Each of the operators' rows can be parsed without the others.
     bool operator_rows_are_independent = false;
+    /// The operators' documents have versions of their own, so that an older
+    /// one is refused whatever the revision of its row.
+    bool operator_rows_have_versions = false;
     /// Table in which targets register; empty when operators list them.
     std::string target_table;
     std::string member_table;
--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -363,15 +363,16 @@
     state_.on_peer_revisions(heartbeat.revisions);
     changes_.look_for_gaps();
     const bool knows_nothing = state_.revisions() == state_revisions{};
-    if (knows_nothing && !state_request_.is_pending())
+    const bool must_request = knows_nothing || state_.lacks_restored_copy();
+    if (must_request && !state_request_.is_pending())
         state_request_timer_.start_once(duration(1));
 }
 
 void peer_controller::request_state_if_behind()
 {
-    const bool is_due = !members_received_ ||
-                        state_.is_late(full_request_delay) ||
-                        changes_.awaits_oversized_change();
+    const bool is_due =
+        !members_received_ || state_.is_late(full_request_delay) ||
+        state_.lacks_restored_copy() || changes_.awaits_oversized_change();
     if (state_request_.is_pending() || !is_due)
         return;
     std::vector<member> candidates;
@@ -461,9 +462,13 @@
     std::vector<member> list;
     for (const auto& each : live)
         list.push_back(each.who);
-    if (!first || list == stored_members_)
+    const auto epoch = state_.store_epoch();
+    const bool is_stored =
+        list == stored_members_ && epoch == stored_members_epoch_;
+    if (!first || is_stored)
         return;
     stored_members_ = std::move(list);
+    stored_members_epoch_ = epoch;
     stored_members_at_ = now;
     state_.write_members();
 }
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -113,6 +113,8 @@
     bool ready_ = false;
     bool leaving_ = false;
     std::vector<member> stored_members_; ///< as last written by this instance
+    /// Of the store when it was written; a restored store may lack it.
+    std::uint64_t stored_members_epoch_ = 0;
     time_point stored_members_at_{};
     bool was_large_ = false;
     bool members_received_ = false; ///< from a peer, since the start
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -312,14 +312,14 @@
     const auto written_out_at = ended.call->out_at();
     if (written_out_at)
         context_.metrics.observe_send_delay(*written_out_at - ended.sent_at);
-    char details[160];
+    char details[192];
     std::snprintf(details, sizeof details,
                   " [expected %lldms, load %.1f, report %lldms old, revision "
-                  "%llu, %s]",
+                  "%s, %s]",
                   static_cast<long long>(to_ms(ended.expected)), ended.load,
                   static_cast<long long>(
                       std::min<std::int64_t>(to_ms(ended.report_age), 99'999)),
-                  static_cast<unsigned long long>(ended.revision),
+                  revision_text(ended.revision).c_str(),
                   describe_send_delay(ended.sent_at, written_out_at).c_str());
     const auto taken = to_ms(context_.loop.now() - ended.sent_at);
     history_ += (history_.empty() ? "" : "; ") + ended.target.value + " " +
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -40,10 +40,13 @@
       on_change_(std::move(on_change)),
       removal_timer_(loop, [this] { refresh_placement(); }),
       refresh_timer_(loop, [this] { refresh_placement(); }),
+      restored_timer_(loop, [this] { apply_held_rows(); }),
       alive_(std::make_shared<bool>(true))
 {
     operators_.rows_are_independent =
         adapter.rows.operator_rows_are_independent;
+    operators_.restored =
+        restored_rows(adapter.rows.operator_rows_have_versions);
     operators_.apply_rows = &state_controller::apply_operator_rows;
     targets_.apply_rows = &state_controller::apply_target_rows;
     set_up(replicated_table::operators, adapter.rows.operator_table, store,
@@ -98,8 +101,8 @@
     store_tried_at_ = loop_.now();
     store_works_ = true;
     log_.state(io::log_level::info, "follows_store",
-               {{"operators", std::to_string(operators_.state.revision())},
-                {"targets", std::to_string(targets_.state.revision())}});
+               {{"operators", revision_text(operators_.state.revision())},
+                {"targets", revision_text(targets_.state.revision())}});
     for (const auto* each : followed_tables())
         each->follower->start(each->state.revision());
 }
@@ -322,8 +325,8 @@
             continue;
         log_.request(io::log_level::warning, "changes_late",
                      {{"table", each->name},
-                      {"revision", std::to_string(known)},
-                      {"newest", std::to_string(each->clock.newest())},
+                      {"revision", revision_text(known)},
+                      {"newest", revision_text(each->clock.newest())},
                       {"late_ms", std::to_string(to_ms(late))}});
     }
 }
@@ -336,7 +339,7 @@
     each.lateness_reported = false;
     log_.request(io::log_level::info, "changes_caught_up",
                  {{"table", each.name},
-                  {"revision", std::to_string(known)},
+                  {"revision", revision_text(known)},
                   {"from", peer == from_store ? "store" : std::string(peer)}});
 }
 
@@ -350,12 +353,17 @@
     const auto before = table.state.revision();
     if (which == replicated_table::targets)
         update_relisting(difference, is_from_store);
+    const bool restored = is_restored(table, difference);
+    const auto known =
+        restored ? table.state.rows() : restored_rows::rows_by_key();
     const auto changed = table.state.apply(difference, now);
     if (is_from_store)
         table.clock.note(table.state.revision(), now);
     if (is_from_store && changed.empty() && !difference.rows.empty())
         log_ignored_rows(table, difference, before);
     log_caught_up(table, peer);
+    if (restored)
+        log_restored(table, before, peer);
     if (changed.empty())
         return false;
     metrics_.observe_change_delay(table.name,
@@ -363,12 +371,75 @@
     log_applied_rows(table, before, changed.size(), peer);
     if (which == replicated_table::targets)
         outage_.on_change_received(now);
-    (this->*table.apply_rows)(changed);
+    if (restored) {
+        (this->*table.apply_rows)(table.restored.hold(changed, known, now));
+        apply_held_rows();
+    } else {
+        table.restored.on_changed(changed);
+        (this->*table.apply_rows)(changed);
+    }
     if (is_from_store)
-        notify_change(which, difference, before, changed);
+        notify_change(which, difference, before, restored, changed);
     return true;
 }
 
+// Of a table of which nothing was known, nothing can be contradicted.
+bool state_controller::is_restored(const table& of,
+                                   const state_difference& difference)
+{
+    const auto known = of.state.revision();
+    const bool is_later = epoch_of(difference.revision) > epoch_of(known);
+    return known > 0 && (difference.restored || (difference.whole && is_later));
+}
+
+// A peer may tell rows of a restored store before all of its copy is known.
+void state_controller::log_restored(const table& of, std::uint64_t before,
+                                    std::string_view peer)
+{
+    const auto now = of.state.revision();
+    if (epoch_of(now) == epoch_of(before))
+        return;
+    log_.state(io::log_level::warning, "store_restored",
+               {{"table", of.name},
+                {"from", peer == from_store ? "store" : std::string(peer)},
+                {"known", revision_text(before)},
+                {"revision", revision_text(now)}});
+}
+
+// Applies the held rows that are due, and waits for the next ones.
+void state_controller::apply_held_rows()
+{
+    const auto now = loop_.now();
+    std::optional<time_point> next;
+    for (auto* each : {&operators_, &targets_}) {
+        const auto due = each->restored.take_due(now);
+        if (!due.empty()) {
+            log_.state(
+                io::log_level::info, "held_rows_taken",
+                {{"table", each->name}, {"rows", std::to_string(due.size())}});
+            (this->*each->apply_rows)(due);
+        }
+        if (const auto other = each->restored.next_due())
+            next = std::min(next.value_or(*other), *other);
+    }
+    if (next)
+        restored_timer_.start_once(std::max<duration>(*next - now, 1ms));
+}
+
+bool state_controller::lacks_restored_copy() const
+{
+    return std::ranges::any_of(followed_tables(), [](const auto* each) {
+        const auto known = each->state.revision();
+        return known > 0 && epoch_of(each->clock.newest()) > epoch_of(known);
+    });
+}
+
+std::uint64_t state_controller::store_epoch() const
+{
+    return std::max(epoch_of(operators_.state.revision()),
+                    epoch_of(targets_.state.revision()));
+}
+
 // An instance that cannot reach the store detects an outage itself, without
 // being told by a peer.
 void state_controller::update_relisting(const state_difference& difference,
@@ -387,7 +458,7 @@
 // show rows that were added and removed in between.
 void state_controller::notify_change(replicated_table which,
                                      const state_difference& read_change,
-                                     std::uint64_t before,
+                                     std::uint64_t before, bool restored,
                                      const std::vector<io::store_row>& changed)
 {
     state_difference relayed{std::max(before, read_change.after),
@@ -400,6 +471,7 @@
             return row.revision <= relayed.after;
         });
     }
+    relayed.restored = restored;
     add_timing(which, relayed);
     on_change_(which, relayed);
 }
@@ -411,8 +483,8 @@
     log_.request(io::log_level::info, "rows_taken",
                  {{"table", changed_table.name},
                   {"from", peer == from_store ? "store" : std::string(peer)},
-                  {"after", std::to_string(before)},
-                  {"revision", std::to_string(changed_table.state.revision())},
+                  {"after", revision_text(before)},
+                  {"revision", revision_text(changed_table.state.revision())},
                   {"rows", std::to_string(rows)}});
 }
 
@@ -425,8 +497,8 @@
     log_.request(io::log_level::info, "rows_ignored",
                  {{"table", of.name},
                   {"whole", difference.whole ? "yes" : "no"},
-                  {"revision", std::to_string(difference.revision)},
-                  {"known", std::to_string(known)},
+                  {"revision", revision_text(difference.revision)},
+                  {"known", revision_text(known)},
                   {"rows", std::to_string(difference.rows.size())}});
 }
 
@@ -458,7 +530,7 @@
     if (cluster_.adopt(std::move(config), loop_.now()))
         log_.state(io::log_level::info, "configuration_adopted",
                    {{"version", std::to_string(version)},
-                    {"revision", std::to_string(operators_.state.revision())}});
+                    {"revision", revision_text(operators_.state.revision())}});
 }
 
 void state_controller::apply_evacuations(std::set<data_centre_id> evacuated)
@@ -487,7 +559,7 @@
                 adapter_.rows.read_target(row.key, row.value)))
             log_.state(io::log_level::info, "target_report_outdated",
                        {{"target", row.key},
-                        {"revision", std::to_string(row.revision)}});
+                        {"revision", revision_text(row.revision)}});
     } catch (const std::exception& failure) {
         log_unreadable_row(targets_, "target_unreadable", row.key,
                            failure.what());
@@ -505,7 +577,7 @@
     metrics_.count_held_removal();
     log_.request(
         io::log_level::info, "target_removal_held",
-        {{"target", row.key}, {"revision", std::to_string(row.revision)}});
+        {{"target", row.key}, {"revision", revision_text(row.revision)}});
 }
 
 void state_controller::apply_target_rows(
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -7,6 +7,7 @@
 #include "state/cluster_view.hpp"
 #include "state/outage_detector.hpp"
 #include "state/replicated_table.hpp"
+#include "state/restored_rows.hpp"
 #include "state/revision_clock.hpp"
 #include "state/state_table.hpp"
 #include "vanillapost/src/io/table_follower.hpp"
@@ -82,6 +83,13 @@
     /// tables.
     void on_peer_revisions(const state_revisions& revisions);
 
+    /// Whether the store was restored, as a peer says, and the rows that it has
+    /// since then are not all known here.
+    bool lacks_restored_copy() const;
+
+    /// How often the store was restored, as far as is known.
+    std::uint64_t store_epoch() const;
+
     /// Whether nothing of a table is known, or a change of it has been missing
     /// for at least `limit`.
     bool is_late(duration limit) const;
@@ -111,6 +119,8 @@
         std::string name;
         state_table state;
         revision_clock clock;
+        /// Targets' rows have versions: their start and sequence number.
+        restored_rows restored{true};
         bool lateness_reported = false; ///< in the log
         /// Each row can be parsed without the others.
         bool rows_are_independent = true;
@@ -142,11 +152,16 @@
     /// \param peer  the sender; empty for the store
     bool apply(replicated_table which, const state_difference& difference,
                std::string_view peer);
+    static bool is_restored(const table& of,
+                            const state_difference& difference);
+    void log_restored(const table& of, std::uint64_t before,
+                      std::string_view peer);
+    void apply_held_rows();
     void update_relisting(const state_difference& difference,
                           bool is_from_store);
     void notify_change(replicated_table which,
                        const state_difference& read_change,
-                       std::uint64_t before,
+                       std::uint64_t before, bool restored,
                        const std::vector<io::store_row>& changed);
     void add_timing(replicated_table which, state_difference& difference) const;
     void log_caught_up(table& each, std::string_view peer);
@@ -184,6 +199,7 @@
     table targets_;
     io::timer removal_timer_;
     io::timer refresh_timer_;
+    io::timer restored_timer_;
     bool refresh_is_due_ = false;
     time_point read_once_at_{};
     std::shared_ptr<bool> alive_; ///< false once destroyed; held by callbacks
--- a/apps/router/state/state_difference.cpp
+++ b/apps/router/state/state_difference.cpp
@@ -83,6 +83,7 @@
             {"after_outage", difference.after_outage},
             {"age", to_ms(difference.age)},
             {"relist_left", to_ms(difference.relist_left)},
+            {"restored", difference.restored},
             {"rows", std::move(rows)}};
 }
 
@@ -98,6 +99,8 @@
         result.relist_left =
             parse_time(document, "relist_left",
                        result.after_outage ? default_relist_left : duration{});
+        // Peers of earlier versions do not send it.
+        result.restored = document.value("restored", false);
         const auto newest = document.contains("newest")
                                 ? parse_revision(document.at("newest"))
                                 : result.revision;
@@ -164,7 +167,8 @@
                                  whole_.after_outage,
                                  {},
                                  whole_.age,
-                                 whole_.relist_left};
+                                 whole_.relist_left,
+                                 whole_.restored};
         parts_.push_back(std::move(part));
         bytes_ = message_overhead_bytes;
         accepts_rows_ = true;
--- a/apps/router/state/state_difference.hpp
+++ b/apps/router/state/state_difference.hpp
@@ -28,6 +28,9 @@
     duration age{};
     /// For how long removed targets may still register again.
     duration relist_left{};
+    /// The rows are as in a store that was restored from an older copy
+    /// (\ref restored_rows).
+    bool restored = false;
 
     /// Whether it holds single rows, and all changes of no revision.
     bool has_rows_only() const
--- a/apps/router/state/state_table.cpp
+++ b/apps/router/state/state_table.cpp
@@ -11,6 +11,13 @@
 /// that was disconnected for longer than this gets the whole table.
 constexpr duration removal_retention = std::chrono::minutes(2);
 
+/// Whether a row is the known one, read again from a restored store.
+bool is_restored_copy(const io::store_row& row, const io::store_row& known)
+{
+    return epoch_of(known.revision) < epoch_of(row.revision) &&
+           known.removed == row.removed && known.value == row.value;
+}
+
 } // namespace
 
 std::vector<io::store_row>
@@ -61,14 +68,16 @@
 bool state_table::put(const io::store_row& row, time_point now)
 {
     const auto [stored, added] = rows_.try_emplace(row.key, row);
+    bool is_new = true;
     if (!added) {
         if (stored->second.revision >= row.revision)
             return false;
+        is_new = !is_restored_copy(row, stored->second);
         stored->second = row;
     }
     if (row.removed)
         removals_.push_back({row.key, row.revision, now});
-    return true;
+    return is_new;
 }
 
 void state_table::forget_removals(time_point now)
--- a/apps/router/state/state_table.hpp
+++ b/apps/router/state/state_table.hpp
@@ -11,7 +11,9 @@
 namespace vanillapost::router {
 
 /// A replica of one of the store's tables. A row is never replaced by an older
-/// one, whatever the path and the order in which changes arrive.
+/// one, whatever the path and the order in which changes arrive. When the store
+/// is restored from an older copy, the rows of the copy are newer than all that
+/// were known (\ref make_revision).
 ///
 /// A row takes effect when it arrives, also while earlier changes are missing.
 /// That a key has no row is certain only up to `revision`.
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -25,10 +25,11 @@
   target_sources(test_${name} PRIVATE apps/router/${part}.cpp)
   target_include_directories(test_${name} PRIVATE apps/router)
 endforeach()
-foreach(name state_table late_changes change_repair outage_watch)
+foreach(name state_table late_changes change_repair outage_watch restored_store)
   target_sources(test_${name} PRIVATE
     apps/router/peers/change_messages.cpp
     apps/router/peers/gap_repair.cpp
+    apps/router/state/restored_rows.cpp
     apps/router/state/revision_clock.cpp
     apps/router/state/revision_spans.cpp
     apps/router/state/state_difference.cpp
--- a/include/vanillapost/base.hpp
+++ b/include/vanillapost/base.hpp
@@ -9,6 +9,7 @@
 #include "src/base/identifier.hpp"
 #include "src/base/number_text.hpp"
 #include "src/base/random.hpp"
+#include "src/base/store_revision.hpp"
 #include "src/base/text_check.hpp"
 #include "src/base/time.hpp"
 
--- a/include/vanillapost/src/io/row_store.hpp
+++ b/include/vanillapost/src/io/row_store.hpp
@@ -1,6 +1,7 @@
 #ifndef VANILLAPOST_SRC_IO_ROW_STORE_HPP
 #define VANILLAPOST_SRC_IO_ROW_STORE_HPP
 
+#include "../base/store_revision.hpp"
 #include "../base/time.hpp"
 #include "../table/malformed_row.hpp"
 
@@ -19,7 +20,8 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t revision = 0; ///< of its last change; rises over all tables
+    /// Of its last change; rises over all tables (\ref make_revision).
+    std::uint64_t revision = 0;
     bool removed = false;
 };
 
@@ -37,6 +39,7 @@
     history_lost, ///< changes since that revision are not kept any more
     conflict,     ///< a row was not as expected
     bad_answer,
+    outdated, ///< an answer of an earlier epoch of the store
 };
 
 struct store_failure
@@ -64,7 +67,8 @@
     virtual void read(std::string_view table, std::string_view first_key,
                       handler done) = 0;
 
-    /// Rows changed after a revision; waits until there is one.
+    /// Rows changed after a revision; waits until there is one. When the
+    /// answer is of another epoch than `after`, it holds only some of them.
     virtual void follow(std::string_view table, std::uint64_t after,
                         duration longest_wait, handler done) = 0;
 
--- a/include/vanillapost/src/io/table_follower.hpp
+++ b/include/vanillapost/src/io/table_follower.hpp
@@ -34,8 +34,8 @@
     std::function<void()> on_back;
 };
 
-/// Reads a table once and follows its changes, through outages of the store
-/// and loss of its history.
+/// Reads a table once and follows its changes, through outages of the store,
+/// loss of its history and restores from an older copy.
 class table_follower
 {
 public:
@@ -79,6 +79,7 @@
     void take_page(store_result result);
     void follow();
     void take_changes(store_result result);
+    void read_again();
     /// \return whether it ends an outage
     bool note_answer();
     void on_failure(const store_failure& failure);
--- a/include/vanillapost/src/members/member.hpp
+++ b/include/vanillapost/src/members/member.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_SRC_MEMBERS_MEMBER_HPP
 
 #include "../base/identifier.hpp"
+#include "../base/store_revision.hpp"
 
 #include <cstdint>
 #include <string>
@@ -43,6 +44,15 @@
     {
         return operators < other.operators || targets < other.targets;
     }
+
+    /// Whether all tables that `other` knows are of a later epoch of the store
+    /// (\ref make_revision).
+    bool is_of_earlier_epoch(const state_revisions& other) const
+    {
+        return epoch_of(operators) < epoch_of(other.operators) &&
+               (other.targets == 0 ||
+                epoch_of(targets) < epoch_of(other.targets));
+    }
 };
 
 /// Status that an instance sends to its peers periodically.
--- a/include/vanillapost/src/table/table.hpp
+++ b/include/vanillapost/src/table/table.hpp
@@ -1,6 +1,7 @@
 #ifndef VANILLAPOST_SRC_TABLE_TABLE_HPP
 #define VANILLAPOST_SRC_TABLE_TABLE_HPP
 
+#include "../base/store_revision.hpp"
 #include "../records/record.hpp"
 #include "malformed_row.hpp"
 
--- a/src/io/table_follower.cpp
+++ b/src/io/table_follower.cpp
@@ -5,6 +5,17 @@
 
 namespace vanillapost::io {
 
+namespace {
+
+store_failure outdated_answer(std::uint64_t revision, std::uint64_t known)
+{
+    return {store_failure_kind::outdated,
+            "the answer is of revision " + revision_text(revision) +
+                ", known is " + revision_text(known)};
+}
+
+} // namespace
+
 table_follower::table_follower(event_loop& loop, row_store& store,
                                std::string table,
                                table_follower_settings settings,
@@ -76,9 +87,17 @@
     }
     auto& page = std::get<store_rows>(result);
     // Later pages are of a later moment: changes since the first are read
-    // again from the feed.
+    // again from the feed, unless the store was restored in between.
     if (read_revision_ == 0)
         read_revision_ = page.revision;
+    if (epoch_of(page.revision) != epoch_of(read_revision_)) {
+        read_again();
+        return;
+    }
+    if (epoch_of(page.revision) < epoch_of(revision_)) {
+        on_failure(outdated_answer(page.revision, revision_));
+        return;
+    }
     std::ranges::move(page.rows, std::back_inserter(pages_));
     if (page.more && !pages_.empty()) {
         read_page(pages_.back().key + '\0');
@@ -118,6 +137,16 @@
         return;
     }
     const auto& changes = std::get<store_rows>(result);
+    if (epoch_of(changes.revision) < epoch_of(revision_)) {
+        on_failure(outdated_answer(changes.revision, revision_));
+        return;
+    }
+    // The changes after a revision of an earlier epoch are only some of those
+    // that were made.
+    if (epoch_of(changes.revision) > epoch_of(revision_)) {
+        read_again();
+        return;
+    }
     revision_ = std::max(revision_, changes.revision);
     const bool back = note_answer();
     timer_.start_once(settings_.batch_delay);
@@ -131,6 +160,12 @@
     handlers_.on_changed(changes.rows, after);
 }
 
+void table_follower::read_again()
+{
+    needs_read_ = true;
+    timer_.start_once(duration(1));
+}
+
 bool table_follower::note_answer()
 {
     failures_ = 0;
--- a/src/io/table_rows.cpp
+++ b/src/io/table_rows.cpp
@@ -25,10 +25,12 @@
 {
     store_rows result;
     result.revision = changes.latest;
+    const auto epoch = epoch_of(changes.latest);
     for (const auto& row : changes.rows)
         if (row.key.starts_with(prefix))
             result.rows.push_back({row.key.substr(prefix.size()),
-                                   row.value.value_or(""), row.at,
+                                   row.value.value_or(""),
+                                   make_revision(epoch, number_of(row.at)),
                                    !row.value.has_value()});
     return result;
 }
--- a/src/members/reader_election.cpp
+++ b/src/members/reader_election.cpp
@@ -35,7 +35,13 @@
                                     time_point now)
 {
     const bool behind = is_behind(revisions, live, now);
-    if (behind || must_follow(self, store, live, now))
+    // A peer that has not noticed that the store was restored, or cannot tell,
+    // relays changes that nobody can use.
+    std::vector<peer_status> useful(live.begin(), live.end());
+    std::erase_if(useful, [&](const auto& each) {
+        return each.heartbeat.revisions.is_of_earlier_epoch(revisions);
+    });
+    if (behind || must_follow(self, store, useful, now))
         needed_at_ = now;
     return needed_at_ && now <= *needed_at_ + settings_.release_delay;
 }
--- a/standins/platform/platform_messages.cpp
+++ b/standins/platform/platform_messages.cpp
@@ -46,6 +46,14 @@
     return result;
 }
 
+std::uint64_t parse_restore(const nlohmann::json& command)
+{
+    detail::field_reader reader(command);
+    const auto revisions = reader.integer("revisions", 0, max_revision);
+    reader.finish(step, "restore");
+    return static_cast<std::uint64_t>(revisions);
+}
+
 table_transaction parse_transaction(std::string_view text)
 {
     const auto document = parse_bounded_json(text, max_body_bytes, step, "");
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -218,11 +218,15 @@
     }
     if (exchange.path() == "/control/clear") {
         faults_ = {};
-    } else if (exchange.path() == "/control/fault") {
+    } else if (exchange.path() == "/control/fault" ||
+               exchange.path() == "/control/restore") {
         try {
-            add_fault(faults_,
-                      parse_bounded_json(exchange.body(), max_record_bytes,
-                                         "fault", exchange.peer()));
+            const auto command = parse_bounded_json(
+                exchange.body(), max_record_bytes, "control", exchange.peer());
+            if (exchange.path() == "/control/fault")
+                add_fault(faults_, command);
+            else
+                table_.restore(parse_restore(command));
         } catch (const error& failure) {
             exchange.reply(400, {}, problem(failure.what()));
             return;
--- a/standins/platform/table_store.cpp
+++ b/standins/platform/table_store.cpp
@@ -1,5 +1,7 @@
 #include "table_store.hpp"
 
+#include <algorithm>
+
 namespace vanillapost::standin {
 
 namespace {
@@ -96,6 +98,28 @@
     by_revision_[{latest_, operation.key}] = &versions.back().row;
 }
 
+void table_store::restore(std::uint64_t revisions)
+{
+    const auto number = number_of(latest_);
+    const auto kept =
+        make_revision(epoch_of(latest_), number - std::min(number, revisions));
+    by_revision_.clear();
+    for (auto each = rows_.begin(); each != rows_.end();) {
+        auto& [key, versions] = *each;
+        while (!versions.empty() && versions.back().row.at > kept)
+            versions.pop_back();
+        if (versions.empty()) {
+            each = rows_.erase(each);
+            continue;
+        }
+        const auto& row = versions.back().row;
+        by_revision_[{row.at, key}] = &row;
+        ++each;
+    }
+    std::erase_if(done_, [&](const auto& done) { return done.second > kept; });
+    latest_ = make_revision(epoch_of(latest_) + 1, number_of(kept));
+}
+
 void table_store::remember(const std::string& write_id)
 {
     done_.emplace(write_id, latest_);
--- a/standins/platform/table_store.hpp
+++ b/standins/platform/table_store.hpp
@@ -38,6 +38,10 @@
     outcome transact(const table_transaction& transaction,
                      std::string_view client, std::int64_t unix_ms);
 
+    /// Goes back by that many revisions, as if restored from an older copy, and
+    /// goes on in a new epoch (\ref make_revision).
+    void restore(std::uint64_t revisions);
+
     revision latest() const
     {
         return latest_;
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -325,6 +325,33 @@
     return {make_member(name, "d1"), heartbeat, 0ms};
 }
 
+// Members relied on readers of the version before, which knew no epochs, and
+// so got no change that they could use.
+TEST(ReaderElection, ReadersOfAnEarlierEpochAreNotReliedOn)
+{
+    const std::vector<peer_status> live = {
+        live_peer("a", true), live_peer("b", true), live_peer("c", true)};
+    std::string name = "d";
+    while (candidate(name).follows(live))
+        name += "d";
+    candidate ahead(name);
+    ahead.revisions = {make_revision(1, 1), make_revision(1, 1)};
+    EXPECT_TRUE(ahead.follows(live));
+}
+
+TEST(ReaderElection, AReaderThatKnowsOneTableOfTheEpochIsReliedOn)
+{
+    const state_revisions both = {make_revision(1, 1), make_revision(1, 1)};
+    const state_revisions one = {1, make_revision(1, 1)};
+    const state_revisions neither = {9, 9};
+    EXPECT_FALSE(one.is_of_earlier_epoch(both));
+    EXPECT_TRUE(neither.is_of_earlier_epoch(both));
+    EXPECT_FALSE(both.is_of_earlier_epoch(neither));
+    // Without a table of targets.
+    EXPECT_TRUE(
+        (state_revisions{9, 0}.is_of_earlier_epoch({make_revision(1, 1), 0})));
+}
+
 TEST(ReaderElection, AFewReadTheStoreForAll)
 {
     std::vector<std::string> names;
--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -52,16 +52,29 @@
         self.faults = [fault for group in (RowFaults, *chosen)
                        for fault in group(fleet, self.random, self.out).all()]
         self.gap = self.random.uniform(0.15, 1.2)
+        # With numbers of its own, so that the seeds from before it was added
+        # play the same faults.
+        self.restores = random.Random(f"restores {seed}")
+        self.store_faults = StoreFaults(fleet, self.restores, self.out)
 
     async def run(self, seconds):
         until = time.monotonic() + seconds
-        running = set()
+        running = {asyncio.create_task(self.restore_store(seconds))}
         while time.monotonic() < until:
             await asyncio.sleep(self.random.uniform(0.1, 2) * self.gap)
             fault = self.random.choice(self.faults)
             running.add(asyncio.create_task(self._play(fault)))
         await asyncio.gather(*running)
 
+    async def restore_store(self, seconds):
+        """Up to two restores of the store, in any seed."""
+        times = [self.restores.uniform(0, seconds)
+                 for _ in range(self.restores.randint(0, 2))]
+        began = time.monotonic()
+        for at in sorted(times):
+            await asyncio.sleep(max(began + at - time.monotonic(), 0))
+            await self._play(self.store_faults.restore)
+
     async def _play(self, fault):
         self.log.append(f"{time.monotonic():.3f} {fault.__qualname__}")
         await fault()
--- a/test/platform/store.py
+++ b/test/platform/store.py
@@ -39,6 +39,8 @@
         self._forgotten = 0
         self._changed = asyncio.Condition()
         self.revision = 0
+        self.epoch = 0  # restores from an older copy
+        self._written = []  # (time, revision, where, row before)
         self.mode = "ok"
         self.lose = self.garble = self.alien = self.no_base64 = 0.0
         self.delay_s = self.jitter_s = 0.0
@@ -77,9 +79,40 @@
             self.reset_connections()
         await self._tell_waiting()
 
+    async def restore(self, age_s):
+        """Goes back to a copy of that age, and gives out its revisions again.
+        Returns what was written to it since, for `write_again`."""
+        since = time.monotonic() - age_s
+        lost = {}
+        while self._written and self._written[-1][0] > since:
+            _, revision, where, before = self._written.pop()
+            lost.setdefault(where, self._rows.get(where))
+            if before:
+                self._rows[where] = before
+            else:
+                self._rows.pop(where, None)
+            self.revision = revision - 1
+        self.epoch += 1
+        self._log = [c for c in self._log if c[0] <= self.revision]
+        self._forgotten = min(self._forgotten, self.revision)
+        self.reset_connections()
+        await self._tell_waiting()
+        return {where: (row, self._rows.get(where))
+                for where, row in lost.items() if where[0] in READ_ONLY}
+
+    async def write_again(self, lost):
+        """The operator and the targets write what was lost, unless they have
+        written something newer."""
+        for where, (row, restored) in lost.items():
+            if self._rows.get(where) == restored:
+                await self._apply([(*where, row and row[0])])
+
     async def _apply(self, changes):
         self.revision += 1
         for table, part, key, value in changes:
+            where = (table, part, key)
+            self._written.append(
+                (time.monotonic(), self.revision, where, self._rows.get(where)))
             if value is None:
                 self._rows.pop((table, part, key), None)
             else:
@@ -102,7 +135,8 @@
                 return
             if self.mode in ("busy", "many"):
                 status = 503 if self.mode == "busy" else 429
-                writer.write(wire.format_message(f"HTTP/1.1 {status} No", []))
+                writer.write(wire.format_message(
+                    f"HTTP/1.1 {status} No", [self._epoch_header()]))
                 continue
             status, answer = await self._answer(request)
             if late := self.delay_s + self._random.uniform(0, self.jitter_s):
@@ -121,11 +155,14 @@
     def _has_fault(self, share):
         return self._random.random() < share
 
-    @staticmethod
-    def _format(status, body, *headers):
+    def _epoch_header(self):
+        return "Store-Era", self.epoch
+
+    def _format(self, status, body, *headers):
         return wire.format_message(
             f"HTTP/1.1 {status} X",
-            [("Content-Type", "application/json"), *headers], body)
+            [("Content-Type", "application/json"), self._epoch_header(),
+             *headers], body)
 
     def _spoil_rows(self, answer):
         rows = answer.get("rows", [])
@@ -194,7 +231,7 @@
         after = int(query["after"])
         until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         while True:
-            if after < self._forgotten:
+            if after < self._forgotten or after > self.revision:
                 return 410, {"error": "history lost"}
             changes = [c for c in self._log
                        if c[0] > after and c[1] == query["table"]]
--- a/test/platform/store_faults.py
+++ b/test/platform/store_faults.py
@@ -29,6 +29,19 @@
                 self.fleet.store.reset_connections()
             await self.hold(self.fleet.store, **figures)
 
+    async def restore(self):
+        """Comes back from a copy some seconds old; what was written since is
+        written again."""
+        store = self.fleet.store
+        with self.touch.lasting(self.touch.core, self.touch.core_down):
+            store.mode = self.random.choice(("reset", "silent", "busy"))
+            store.reset_connections()
+            await self.pause()
+            lost = await store.restore(self.random.uniform(0.2, 9))
+            store.mode = "ok"
+            await self.pause(0, 0.6)
+            await store.write_again(lost)
+
     async def forgets(self):
         await self.fleet.store.forget_history(self.random.random() < 0.3)
 
--- a/test/platform/test_incidents.py
+++ b/test/platform/test_incidents.py
@@ -122,6 +122,86 @@
     asyncio.run(scenario())
 
 
+async def restore_store(fleet, age_s, away_s=1.0, rewrite_s=0.3):
+    touch = fleet.truth.touch
+    with touch.lasting(touch.core, touch.core_down):
+        fleet.store.mode = "reset"
+        fleet.store.reset_connections()
+        await asyncio.sleep(away_s)
+        lost = await fleet.store.restore(age_s)
+        fleet.store.mode = "ok"
+        await asyncio.sleep(rewrite_s)
+        await fleet.store.write_again(lost)
+
+
+def play_restore(change, is_out=lambda run: False, rewrite_s=0.3):
+    """Four routers, one of which relies on the others for news, while the
+    store comes back without the changes of the last seconds. Once a change is
+    known, no request runs where `is_out`, restored store or not."""
+
+    async def scenario():
+        async with Fleet(routers=4) as fleet:
+            await fleet.wait_ready()
+            await asyncio.sleep(2.5)
+            load = asyncio.create_task(fleet.load(16))
+            await asyncio.sleep(1)
+            await change(fleet)
+            await asyncio.sleep(0.7)
+            known = time.monotonic()
+            await restore_store(fleet, age_s=3.0, rewrite_s=rewrite_s)
+            await asyncio.sleep(3.2)
+            # Fewer writes than were lost: revisions that were known before.
+            await change_routes(fleet, changes=2)
+            await load
+            fleet.truth.check_routes(CONFIG_BOUND_S)
+            fleet.truth.check_end()
+            assert fleet.truth.violations == []
+            assert fleet.truth.served() > SERVED
+            assert [run for runs in fleet.truth.runs.values() for run in runs
+                    if run.arrived > known and is_out(run)] == []
+
+    asyncio.run(scenario())
+
+
+def test_changes_after_a_restored_store_were_not_in_force():
+    async def change(fleet):
+        for _ in range(12):
+            await fleet.write_config()
+
+    play_restore(change)
+
+
+def test_a_target_that_left_before_a_restore_was_in_use_again():
+    left = []
+
+    async def change(fleet):
+        target = fleet.targets_of("stock")[0]
+        left.append(target.id)
+        await target.leave()
+
+    play_restore(change, lambda run: run.target in left, rewrite_s=1.5)
+
+
+def test_a_target_that_joined_before_a_restore_was_out_of_use():
+    joined = []
+
+    async def change(fleet):
+        for target in fleet.targets_of("stock"):
+            await target.leave()
+        for zone in ("a", "b"):
+            target = await fleet.add_target("stock", zone)
+            joined.append(target.id)
+
+    play_restore(change, rewrite_s=1.5)
+
+
+def test_an_evacuation_was_lifted_by_a_restored_store():
+    async def change(fleet):
+        await fleet.store.put("op", "evacuate/b", "{}")
+
+    play_restore(change, lambda run: run.zone == "b", rewrite_s=1.5)
+
+
 def test_a_router_that_could_not_read_the_members_stayed_alone():
     async def scenario():
         async with Fleet(routers=2) as fleet:
--- a/test/process/cluster.py
+++ b/test/process/cluster.py
@@ -335,6 +335,11 @@
         self._command(self.platform, "/control/fault",
                       {"fault": fault, **values})
 
+    def restore_platform(self, revisions):
+        """The store comes back without its last revisions."""
+        self._command(self.platform, "/control/restore",
+                      {"revisions": revisions})
+
     def clear_platform(self):
         self._command(self.platform, "/control/clear", {})
 
--- a/test/process/test_data_centres.py
+++ b/test/process/test_data_centres.py
@@ -44,3 +44,24 @@
             callers.wait_for_calls(40)
             assert offered(cluster, "b") == before
         check_all(cluster, callers)
+
+
+def test_data_centre_taken_out_was_back_after_a_restored_store():
+    with Cluster() as cluster:
+        with Callers(cluster.addresses(), BOTH, threads=4,
+                     pause=0.05) as callers:
+            callers.wait_for_calls(40)
+            written = cluster.platform_truth()["latest"]
+            cluster.set_centre("a", "out")
+            time.sleep(3)
+            before = offered(cluster, "a")
+            lost = cluster.platform_truth()["latest"] - written
+            cluster.restore_platform(lost)
+            time.sleep(1.5)
+            cluster.set_centre("a", "out")
+            time.sleep(4)
+            assert offered(cluster, "a") == before
+            cluster.set_centre("a", "in")
+            wait_until(lambda: offered(cluster, "a") > before,
+                       "the data centre works again")
+        check_all(cluster, callers)
--- a/test/store_client.cpp
+++ b/test/store_client.cpp
@@ -19,9 +19,13 @@
 {
     event_loop loop;
     std::string body;
+    header_list headers;
+    std::string asked; ///< target of the last call
     std::vector<malformed_row> malformed_rows;
     http_server server{loop, {}, [this](std::unique_ptr<server_exchange> e) {
-                           e->reply(200, {}, body);
+                           asked = std::string(e->path()) + " after " +
+                                   e->query_value("after");
+                           e->reply(200, headers, body);
                        }};
     platform::store_client client{loop, server.listen(any_port)};
 
@@ -33,11 +37,11 @@
             });
     }
 
-    store_result follow(std::string answer)
+    store_result follow(std::string answer, std::uint64_t after = 3)
     {
         body = std::move(answer);
         std::optional<store_result> got;
-        client.follow("servers", 3, 100ms,
+        client.follow("servers", after, 100ms,
                       [&](store_result result) { got = std::move(result); });
         run_until(loop, [&] { return got.has_value(); });
         return std::move(*got);
@@ -61,6 +65,36 @@
            R"(,{"key":"good","revision":8,"value":"eA=="}]})";
 }
 
+TEST(StoreClient, RevisionsBeginWithTheEpochOfTheAnswer)
+{
+    fake_store store;
+    store.headers = {{"store-era", "2"}};
+    const auto result =
+        store.follow(answer_with(R"({"key":"a","revision":7,"value":"eA=="})"),
+                     make_revision(2, 5));
+    EXPECT_EQ(store.asked, "/rows-feed after 5");
+    ASSERT_TRUE(std::holds_alternative<store_rows>(result));
+    const auto& answer = std::get<store_rows>(result);
+    EXPECT_EQ(answer.revision, make_revision(2, 9));
+    ASSERT_EQ(answer.rows.size(), 2U);
+    EXPECT_EQ(answer.rows[0].revision, make_revision(2, 7));
+}
+
+// An odd one would hide all that comes after it.
+TEST(StoreClient, AnAnswerOfAnEpochThatIsNoneIsRefused)
+{
+    for (const std::string epoch :
+         {"", "-1", "x", "1.5", "8192", "99999999999999999999", "1 2"}) {
+        fake_store store;
+        store.headers = {{"Store-Era", epoch}};
+        const auto result = store.follow(
+            answer_with(R"({"key":"a","revision":7,"value":"eA=="})"));
+        ASSERT_TRUE(std::holds_alternative<store_failure>(result)) << epoch;
+        EXPECT_EQ(std::get<store_failure>(result).kind,
+                  store_failure_kind::bad_answer);
+    }
+}
+
 // One row that could not be read held up all rows, for as long as it stood.
 TEST(StoreClient, ASpoiltRowLeavesTheOthersOfItsAnswer)
 {
--- a/test/table_follower.cpp
+++ b/test/table_follower.cpp
@@ -113,6 +113,44 @@
     EXPECT_EQ(f.events, strings{"read 1"});
 }
 
+// The changes after a revision that was given out again left out others, and
+// after one that was not were asked for without end.
+TEST(TableFollower, ARestoredStoreIsReadAgain)
+{
+    followed f;
+    f.answer(1, rows(5, {"a"}));
+    f.answer(2, rows(make_revision(1, 9), {"b"}));
+    run_until(f.loop, [&] { return f.store.calls.size() == 3; });
+    EXPECT_EQ(f.store.calls[2].kind, "read");
+    EXPECT_EQ(f.events, strings{"read 1"});
+    f.answer(3, rows(make_revision(1, 3), {"a", "b"}));
+    EXPECT_EQ(f.events.back(), "read 2");
+    EXPECT_EQ(f.store.calls[3].kind, "follow");
+    EXPECT_EQ(f.store.calls[3].after, make_revision(1, 3));
+}
+
+TEST(TableFollower, AStoreRestoredBetweenTwoPagesIsReadFromTheFirst)
+{
+    followed f;
+    f.answer(1, rows(5, {"a", "b"}, true));
+    f.answer(2, rows(make_revision(1, 4), {"c"}));
+    run_until(f.loop, [&] { return f.store.calls.size() == 3; });
+    EXPECT_EQ(f.store.calls[2].kind, "read");
+    EXPECT_EQ(f.store.calls[2].first_key, "");
+    f.answer(3, rows(make_revision(1, 4), {"a"}));
+    EXPECT_EQ(f.events, strings{"read 1"});
+}
+
+TEST(TableFollower, AnAnswerOfAnEarlierEpochIsAFailure)
+{
+    followed f;
+    f.answer(1, rows(make_revision(1, 5), {"a"}));
+    f.answer(2, rows(9, {"b"}));
+    EXPECT_EQ(f.events, (strings{"read 1", "lost"}));
+    run_until(f.loop, [&] { return f.store.calls.size() == 3; });
+    EXPECT_EQ(f.store.calls[2].after, make_revision(1, 5));
+}
+
 TEST(TableFollower, AnOutageIsToldOnceAndItsEndIsLookedForWithShortWaits)
 {
     followed f;
