Keep a row out that was removed, added and removed again

Cause: found by the model of the copies once it had a restore, and needs none. An instance that knows the first removal of a row and reads a whole table after the second one keeps the first removal. A late message with the row in between is newer than that, so the row came back: a target that had left would be in use again.

Change: a removal that is known no longer rules out that a row up to the revision of a whole table was removed since. The model has restores of the store, with two variants that lack a rule each.

Evidence: StateTable.ARowRemovedTwiceDoesNotComeBackBetween fails without the change; the model breaks its claim without it (66,525 states) and keeps it with it (1,504,883 states); both new variants break it.

--- a/apps/router/state/state_table.cpp
+++ b/apps/router/state/state_table.cpp
@@ -59,10 +59,13 @@
     }
 }
 
-// The removal of the row may be among the forgotten ones.
+// The removal of the row may be among the forgotten ones. An earlier removal
+// that is known does not rule that out.
 bool state_table::may_be_removed(const io::store_row& row) const
 {
-    return row.revision <= forgotten_upto_ && !rows_.contains(row.key);
+    const auto known = rows_.find(row.key);
+    const bool is_present = known != rows_.end() && !known->second.removed;
+    return row.revision <= forgotten_upto_ && !is_present;
 }
 
 bool state_table::put(const io::store_row& row, time_point now)
--- a/spec/state_relay.pml
+++ b/spec/state_relay.pml
@@ -12,6 +12,10 @@
  * was there at the row's own revision. So no row goes back, and none that was
  * removed returns.
  *
+ * The store may be restored from an older copy: what was written since is lost,
+ * and its numbers are given out again, in a new epoch. A revision is the epoch
+ * and the number (store_revision.hpp).
+ *
  * Each BREAK_* leaves out one rule of the protocol; the claim has to fail.
  */
 
@@ -21,9 +25,20 @@
 #ifndef RESTARTS
 #define RESTARTS 1
 #endif
+#ifndef RESTORES
+#define RESTORES 0
+#endif
+#ifndef REORDERS
+#define REORDERS 1
+#endif
+#ifndef QUEUE
+#define QUEUE 2
+#endif
 #define KEYS 2
 #define INSTANCES 2
-#define REVISIONS 5 /* more than WRITES + 1 */
+#define EPOCH 5 /* more than WRITES + 1 */
+#define REVISIONS (EPOCH * (RESTORES + 1))
+#define epoch_of(r) ((r) / EPOCH)
 
 #define cell(i, k) ((i) * KEYS + (k))
 #define past(k, r) ((k) * REVISIONS + (r))
@@ -34,6 +49,13 @@
 bit store_removed[KEYS];
 bit was_there[KEYS * REVISIONS];
 
+/* What the store is restored from: it as it was at some time. */
+byte copy_revision = 0;
+byte copy_at[KEYS];
+bit copy_removed[KEYS];
+byte restores = 0;
+byte writes = 0;
+
 /* The copies; `at` is 0 for a row that is not known. */
 byte revision[INSTANCES];
 byte forgotten[INSTANCES];
@@ -43,7 +65,7 @@
 
 /* from the store, whole, after, revision, and for each key: its revision (0:
  * not in the message) and whether it was removed. */
-chan inbox[INSTANCES] = [2] of { bit, bit, byte, byte, byte, bit, byte, bit };
+chan inbox[INSTANCES] = [QUEUE] of { bit, bit, byte, byte, byte, bit, byte, bit };
 
 inline write_row()
 {
@@ -56,9 +78,15 @@
     :: gone = 0
     :: store_at[k] > 0 && !store_removed[k] -> gone = 1
     fi;
+    writes++;
     store_revision++;
     store_at[k] = store_revision;
     store_removed[k] = gone;
+    note_rows()
+}
+
+inline note_rows()
+{
     other = 0;
     do
     :: other < KEYS ->
@@ -69,13 +97,56 @@
     od
 }
 
+inline make_copy()
+{
+    copy_revision = store_revision;
+    copy_at[0] = store_at[0]; copy_removed[0] = store_removed[0];
+    copy_at[1] = store_at[1]; copy_removed[1] = store_removed[1]
+}
+
+/* Its rows get revisions of the new epoch, and one that it lacks is gone as of
+ * the restore. */
+#ifdef BREAK_EPOCHS_COME_FIRST
+#define in_new_epoch(r) (r)
+#else
+#define in_new_epoch(r) ((r) % EPOCH + EPOCH * restores)
+#endif
+
+inline restore_row(key)
+{
+    if
+    :: copy_at[key] > 0 ->
+        store_at[key] = in_new_epoch(copy_at[key]);
+        store_removed[key] = copy_removed[key];
+        was_there[past(key, store_at[key])] = !copy_removed[key]
+    :: copy_at[key] == 0 && store_at[key] > 0 ->
+        store_at[key] = in_new_epoch(copy_revision);
+        store_removed[key] = 1
+    :: else
+    fi
+}
+
+inline restore_store()
+{
+    restores++;
+    restore_row(0);
+    restore_row(1);
+    store_revision = in_new_epoch(copy_revision);
+    note_rows()
+}
+
 active proctype operators()
 {
     byte k, other;
     bit gone;
     do
-    :: atomic { store_revision < WRITES -> write_row() }
-    :: store_revision == WRITES -> break
+    :: atomic { writes < WRITES -> write_row() }
+    :: atomic { restores < RESTORES && copy_revision == 0 -> make_copy() }
+    :: atomic {
+        restores < RESTORES && copy_revision > 0 &&
+            copy_revision < store_revision -> restore_store()
+       }
+    :: writes == WRITES && restores == RESTORES -> break
     od
 }
 
@@ -84,12 +155,22 @@
 #define in_message(w, since, when, gone) \
     ((when) > 0 && ((w) -> !(gone) : (when) > (since)))
 
+/* The store compares numbers, so that the changes since a revision of an
+ * earlier epoch are only some. */
+#ifdef BREAK_ANOTHER_EPOCH_IS_READ_WHOLE
+#define may_follow(i) 1
+#else
+#define may_follow(i) (epoch_of(revision[i]) == epoch_of(store_revision))
+#endif
+#define is_told(w, since, when, gone) \
+    ((when) > 0 && ((w) -> !(gone) : (when) % EPOCH > (since) % EPOCH))
+
 inline read_store(i, w)
 {
     inbox[i] ! 1, w, (w -> 0 : revision[i]), store_revision,
-        (in_message(w, revision[i], store_at[0], store_removed[0]) ->
+        (is_told(w, revision[i], store_at[0], store_removed[0]) ->
             store_at[0] : 0), store_removed[0],
-        (in_message(w, revision[i], store_at[1], store_removed[1]) ->
+        (is_told(w, revision[i], store_at[1], store_removed[1]) ->
             store_at[1] : 0), store_removed[1]
 }
 
@@ -107,6 +188,8 @@
             at[cell(j, 1)] : 0), removed[cell(j, 1)]
 }
 
+#define is_there(i, k) (at[cell(i, k)] > 0 && !removed[cell(i, k)])
+
 #define is_news(i, k, when) ((when) > at[cell(i, k)])
 
 #ifdef BREAK_UNLISTED_ROWS_GO
@@ -122,7 +205,7 @@
 #define may_be_removed(i, k, when) 0
 #else
 #define may_be_removed(i, k, when) \
-    ((when) <= forgotten[i] && at[cell(i, k)] == 0)
+    ((when) <= forgotten[i] && !is_there(i, k))
 #endif
 
 inline take_row(i, k, w, r, when, gone)
@@ -193,7 +276,7 @@
 inline relay(i, j)
 {
     if
-    :: from_store && before > 0 && len(inbox[j]) < 2 ->
+    :: from_store && before > 0 && len(inbox[j]) < QUEUE ->
         if
         :: inbox[j] ! 0, 0, claimed_after(w), r, at0, gone0, at1, gone1
         :: true
@@ -202,8 +285,6 @@
     fi
 }
 
-#define is_there(i, k) (at[cell(i, k)] > 0 && !removed[cell(i, k)])
-
 #define knows_last(i, k) \
     (store_at[k] > revision[i] || \
      is_there(i, k) == (store_at[k] > 0 && !store_removed[k]))
@@ -256,7 +337,9 @@
     byte since, r, at0, at1, before;
     do
     :: atomic { nfull(inbox[i]) -> read_store(i, 1) }
-    :: atomic { nfull(inbox[i]) && revision[i] > 0 -> read_store(i, 0) }
+    :: atomic {
+        nfull(inbox[i]) && revision[i] > 0 && may_follow(i) -> read_store(i, 0)
+       }
     :: atomic {
         nfull(inbox[i]) && revision[j] > revision[i] ->
             ask_peer(i, j);
@@ -267,7 +350,7 @@
         nempty(inbox[i]) -> inbox[i] ? _, _, _, _, _, _, _, _
        }
     :: atomic { /* messages change places */
-        len(inbox[i]) == 2 ->
+        REORDERS && len(inbox[i]) == 2 ->
             inbox[i] ? from_store, w, since, r, at0, gone0, at1, gone1;
             inbox[i] ! from_store, w, since, r, at0, gone0, at1, gone1;
             from_store = 0; w = 0; since = 0; r = 0;
--- a/test/state_table.cpp
+++ b/test/state_table.cpp
@@ -183,6 +183,18 @@
     EXPECT_TRUE(present(table).empty());
 }
 
+// A row came back that had been removed, added and removed again: a whole table
+// does not tell its last removal, and the first one was known.
+TEST(StateTable, ARowRemovedTwiceDoesNotComeBackBetween)
+{
+    state_table table;
+    table.apply({0, 1, true, false, {put("a", 1)}}, start);
+    table.apply({1, 2, false, false, {removed("a", 2)}}, start);
+    table.apply({0, 5, true, false, {}}, start);
+    table.apply({3, 3, false, false, {put("a", 3)}}, start);
+    EXPECT_EQ(present(table).size(), 0U);
+}
+
 TEST(StateTable, RowsNeverGoBack)
 {
     state_table table;
