Relay requests to peers while all targets are out of reach

Cause: the silence of targets was kept for each target alone, and always taken for the target being down. Nothing joined the silence of many, so the entry stayed in the directory and placed each request anew.

Ruled out: leaving the directory alone, as callers keep addresses for up to three times the 2 s that answers live, and keep connections open.

Change: reach_detector decides that the instance is cut off when four targets in a row do not answer and no other does for 0.4 s. It then says so in its heartbeats, so that peers leave it out of the directory and of the shares in targets' rates, closes connections with the next answer, and relays requests to a peer that reaches targets: once, with the time that is left, not again if the peer may have run it. An attempt whose target is gone no longer ends the process when another answer begins to stream.

An entry whose kept connections live on is not taken for cut off while a target answers.

--- a/apps/router/directory/directory.cpp
+++ b/apps/router/directory/directory.cpp
@@ -146,8 +146,14 @@
 
 directory_answer directory::make_addresses_answer(std::string_view query)
 {
-    auto ready = cluster_.members.ready_peers(loop_.now());
-    if (ready_)
+    const auto now = loop_.now();
+    auto ready = cluster_.members.ready_peers(now);
+    if (ready_ && !cluster_.is_cut_off())
+        ready.push_back(cluster_.members.self());
+    // Where none reaches targets, rather the targets are away.
+    if (ready.empty())
+        ready = cluster_.members.cut_off_peers(now);
+    if (ready.empty() && ready_)
         ready.push_back(cluster_.members.self());
     const data_centre_id caller{
         io::query_value(query, adapter_.data_centre_parameter)};
--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -122,6 +122,11 @@
     send_heartbeat();
 }
 
+void peer_controller::on_reach_changed()
+{
+    send_heartbeat();
+}
+
 void peer_controller::leave()
 {
     leaving_ = true;
@@ -147,6 +152,7 @@
     result.revisions = state_.revisions();
     result.is_probed = cluster_.members.is_large();
     result.is_idle = cluster_.is_idle();
+    result.is_cut_off = cluster_.is_cut_off();
     return result;
 }
 
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -40,6 +40,9 @@
     /// Sets whether this instance accepts requests. Peers are told at once.
     void set_ready(bool ready);
 
+    /// Tells peers at once whether this instance reaches targets.
+    void on_reach_changed();
+
     /// Tells peers that this instance shuts down.
     void leave();
 
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -126,9 +126,10 @@
     from.head = std::move(head);
     // Signals are recorded before the body arrives: a streamed answer ends much
     // later, and an abandoned one never does.
-    context_.signals.record(
-        {from.target, from.start_unix_ms, false, from.sent_at}, from.head);
-    const auto outcome = classify_answer(from.head, context_.adapter.headers);
+    if (!from.is_relay)
+        context_.signals.record(
+            {from.target, from.start_unix_ms, false, from.sent_at}, from.head);
+    const auto outcome = classify(from);
     // The body would be useless, and may never end.
     if (std::holds_alternative<attempt_lost>(outcome)) {
         finish_attempt(from, outcome);
@@ -152,7 +153,7 @@
     from.body.append(data);
     if (from.body.size() <= max_undelivered_body)
         return;
-    const auto outcome = classify_answer(from.head, context_.adapter.headers);
+    const auto outcome = classify(from);
     const bool headers_decide =
         !std::holds_alternative<attempt_answered>(outcome);
     if (headers_decide || from.body.size() > max_buffered_answer)
@@ -192,8 +193,8 @@
         if (other.get() == &from)
             continue;
         tracker_.on_abandoned();
-        context_.cluster.placer.find(other->target)
-            ->on_ended(health_signal::neutral, context_.loop.now());
+        if (auto* target_info = context_.cluster.placer.find(other->target))
+            target_info->on_ended(health_signal::neutral, context_.loop.now());
     }
     std::erase_if(attempts_,
                   [&](const auto& each) { return each.get() != &from; });
@@ -201,13 +202,17 @@
 
 void request_task::process_end(attempt& from)
 {
-    finish_attempt(from, classify_answer(from.head, context_.adapter.headers));
+    finish_attempt(from, classify(from));
 }
 
 void request_task::process_failure(attempt& from,
                                    const io::target_failure& failure)
 {
     report_bad_answer(from, failure.fault, failure.reason);
+    const bool was_silent =
+        failure.fault == io::answer_fault::none && from.head.status == 0;
+    if (was_silent && !from.is_relay)
+        context_.signals.record_silence(from.target);
     if (!failure.sent)
         finish_attempt(from, attempt_not_sent{failure.reason});
     else
@@ -242,6 +247,7 @@
 {
     auto finished = remove_attempt(ended);
     record_outcome(*finished, outcome);
+    relayed_ = relayed_ || (finished->is_relay && may_have_run(outcome));
     const bool budget_left =
         context_.budgets.of(service_).has_room(context_.loop.now());
     const auto step = tracker_.on_ended(outcome, budget_left);
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -19,6 +19,7 @@
               [this](std::uint64_t waiter, const target_id& target) {
                   on_probe_done(waiter, target);
               }),
+      reach_(loop, cluster, probes_, log, random_engine(random_())),
       budgets_(settings.repeats, loop.now()),
       context_{loop,
                cluster,
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -3,6 +3,7 @@
 
 #include "requests/request_task.hpp"
 #include "router_settings.hpp"
+#include "targets/reach_monitor.hpp"
 
 #include <map>
 
@@ -27,6 +28,14 @@
     void handle(std::unique_ptr<io::caller_exchange> exchange,
                 io::http_request message);
 
+    /// \param handler  called when this instance turns out to be partitioned
+    /// from
+    ///                 all targets, or no longer
+    void on_reach_changed(std::function<void(bool cut_off)> handler)
+    {
+        reach_.on_change(std::move(handler));
+    }
+
     /// To be called when the number of live instances may have changed.
     /// \param live  live instances, this one included
     void set_members(std::size_t live);
@@ -58,6 +67,7 @@
     target_connections connections_;
     target_signal_recorder signals_;
     prober probes_;
+    reach_monitor reach_;
     service_budgets budgets_;
     route_statistics statistics_;
     request_context context_;
--- a/apps/router/requests/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -1,5 +1,6 @@
 #include "requests/request_filters.hpp"
 
+#include "targets/target_message.hpp"
 #include "vanillapost/base.hpp"
 #include "vanillapost/idempotency.hpp"
 
@@ -49,6 +50,17 @@
     return std::nullopt;
 }
 
+std::optional<problem> relay_filter::operator()(incoming_request& request,
+                                                const filter_context&) const
+{
+    const auto removed =
+        std::erase_if(request.message.headers, [](const auto& field) {
+            return io::same_header_name(field.name, relayed_by_header);
+        });
+    request.is_relayed = removed > 0;
+    return std::nullopt;
+}
+
 std::optional<problem>
 configured_filter::operator()(incoming_request&,
                               const filter_context& context) const
@@ -119,9 +131,9 @@
 std::optional<problem> run_filters(incoming_request& request,
                                    const filter_context& context)
 {
-    static const std::array<request_filter, 5> filters = {
-        id_filter{}, configured_filter{}, route_filter{}, deadline_filter{},
-        idempotency_key_filter{}};
+    static const std::array<request_filter, 6> filters = {
+        id_filter{},    relay_filter{},    configured_filter{},
+        route_filter{}, deadline_filter{}, idempotency_key_filter{}};
     for (const auto& filter : filters) {
         auto refused = std::visit(
             [&](const auto& each) { return each(request, context); }, filter);
--- a/apps/router/requests/request_filters.hpp
+++ b/apps/router/requests/request_filters.hpp
@@ -20,6 +20,7 @@
     time_point arrived{};
     std::optional<duration> time_left; ///< until the caller's deadline
     std::string idempotency_key;       ///< idempotency key; empty if none
+    bool is_relayed = false;           ///< by a peer that reaches no target
 };
 
 /// What filters need in addition to the request.
@@ -39,6 +40,14 @@
                                       const filter_context& context) const;
 };
 
+/// Notes whether a peer has relayed the request, and removes the header that
+/// says so.
+struct relay_filter
+{
+    std::optional<problem> operator()(incoming_request& request,
+                                      const filter_context& context) const;
+};
+
 /// Refuses requests while no configuration or no target is known.
 struct configured_filter
 {
@@ -69,8 +78,9 @@
                                       const filter_context& context) const;
 };
 
-using request_filter = std::variant<id_filter, configured_filter, route_filter,
-                                    deadline_filter, idempotency_key_filter>;
+using request_filter =
+    std::variant<id_filter, relay_filter, configured_filter, route_filter,
+                 deadline_filter, idempotency_key_filter>;
 
 /// Applies the filters in order, up to the first that refuses the request.
 /// \return the refusal; nothing when the request passes
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -38,7 +38,7 @@
                            incoming_request request, service_id service)
     : number_(number), context_(context), exchange_(std::move(exchange)),
       request_(std::move(request.message)), id_(std::move(request.id)),
-      rule_(std::move(request.rule)),
+      rule_(std::move(request.rule)), is_relayed_(request.is_relayed),
       claimed_(!request.idempotency_key.empty()), service_(std::move(service)),
       tracker_(may_repeat(rule_.kind), rule_.max_attempts),
       arrived_(request.arrived), timer_(context.loop, [this] {
@@ -114,6 +114,10 @@
         give_up(status_gateway_timeout, "too little time is left");
         return;
     }
+    if (context_.cluster.is_cut_off() && relay()) {
+        arm_timer();
+        return;
+    }
     follow(context_.cluster.placer.choose(make_placement_request(),
                                           make_placement_options(now), now));
     if (state_ != stage::ended)
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -77,6 +77,7 @@
         io::target_answer_head head;
         std::string body;
         bool streaming = false;
+        bool is_relay = false; ///< to a peer, which sends it to a target
     };
 
     /// Runs a step; if it throws, the request is answered with an error.
@@ -96,6 +97,10 @@
     void probe_targets(const std::vector<target_id>& targets);
     void wait_for_slot(const retry_after_estimate& estimate);
     void send(const place_on& place, bool hedge);
+    bool relay();
+    std::optional<member> choose_relay() const;
+    void send_to_peer(const member& peer);
+    attempt_outcome classify(const attempt& from) const;
     bool is_target_still_usable(const target_id& target) const;
     io::target_call_handlers make_handlers(attempt& created);
     void process_head(attempt& from, io::target_answer_head&& head);
@@ -141,7 +146,9 @@
     io::http_request request_;
     std::string id_;
     route rule_;
-    bool claimed_; ///< under a claim, which needs the result
+    bool is_relayed_;      ///< a peer sent it, so it is not relayed again
+    bool relayed_ = false; ///< a peer may have run it
+    bool claimed_;         ///< under a claim, which needs the result
     service_id service_;
     attempt_tracker tracker_;
     stage state_ = stage::probing;
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -71,6 +71,12 @@
                }),
       check_timer_(loop, [this] { check(); })
 {
+    engine_.on_reach_changed([this](bool cut_off) {
+        // Callers then ask for an address again, and get that of a peer.
+        if (!leaving_since_)
+            callers_.announce_close(cut_off);
+        peers_.on_reach_changed();
+    });
     loop.on_failure([this](const io::callback_failure& failure) {
         report_callback_failure(failure);
     });
@@ -163,7 +169,7 @@
     log_.state(io::log_level::info, "leaving",
                {{"in_flight", std::to_string(engine_.in_flight())}});
     directory_.set_ready(false);
-    callers_.announce_close();
+    callers_.announce_close(true);
     cluster_.leave(*leaving_since_);
     peers_.leave();
 }
--- a/apps/router/state/cluster_view.cpp
+++ b/apps/router/state/cluster_view.cpp
@@ -45,7 +45,7 @@
 void cluster_view::refresh_members(time_point now)
 {
     auto owners = members.active_peers(now);
-    bool owns = !leaving_ && !idle_;
+    bool owns = !leaving_ && !idle_ && !cut_off_;
     if (owners.empty() && !owns) {
         owners = members.ready_peers(now);
         owns = !leaving_ || owners.empty();
@@ -69,6 +69,16 @@
     return true;
 }
 
+bool cluster_view::update_reach(time_point now)
+{
+    const bool cut_off = reach.is_cut_off(targets.all().size(), now);
+    if (cut_off == cut_off_)
+        return false;
+    cut_off_ = cut_off;
+    refresh_members(now);
+    return true;
+}
+
 void cluster_view::leave(time_point now)
 {
     leaving_ = true;
--- a/apps/router/state/cluster_view.hpp
+++ b/apps/router/state/cluster_view.hpp
@@ -61,6 +61,15 @@
         return idle_;
     }
 
+    /// Checks whether this instance is partitioned from all targets.
+    /// \return whether that changed, so that peers have to be told
+    bool update_reach(time_point now);
+
+    bool is_cut_off() const
+    {
+        return cut_off_;
+    }
+
     /// Applies the rate limit in a target's answer, or the lack of one.
     /// \see rate_limits::on_announced
     rate_limit_change on_rate_limit_announced(const target_id& target,
@@ -87,6 +96,7 @@
 
     target_catalog targets;
     member_table members;
+    reach_detector reach;
     target_placer placer;
     part_picker parts;
 
@@ -96,6 +106,7 @@
     route_table routes_;
     bool leaving_ = false;
     bool idle_ = false;
+    bool cut_off_ = false;
     std::uint64_t targets_revision_ = 0;
     time_point last_request_at_{};
 };
--- a/apps/router/targets/prober.cpp
+++ b/apps/router/targets/prober.cpp
@@ -42,8 +42,10 @@
         created.timeout_timer->start_once(duration::zero());
         return;
     }
-    created.timeout_timer = std::make_unique<io::timer>(
-        loop_, [this, target] { fail(target, "no answer in time"); });
+    created.timeout_timer = std::make_unique<io::timer>(loop_, [this, target] {
+        signals_.record_silence(target);
+        fail(target, "no answer in time");
+    });
     created.timeout_timer->start_once(probe_timeout);
     if (auto* target_info = cluster_.placer.find(target))
         target_info->on_probe_sent(loop_.now());
@@ -77,6 +79,8 @@
     handlers.on_failure = [this, id](const io::target_failure& failure) {
         if (failure.fault != io::answer_fault::none)
             metrics_.count_bad_answer(failure.fault);
+        else
+            signals_.record_silence(id);
         fail(id, failure.reason);
     };
     try {
--- a/apps/router/targets/target_connections.cpp
+++ b/apps/router/targets/target_connections.cpp
@@ -28,17 +28,30 @@
 
 io::target_pool& target_connections::pool_of(const listed_target& target)
 {
-    auto& found = pools_[target.id];
-    if (found.pool && found.address == target.address)
+    return find_or_create(pools_[target.id], target.address,
+                          connection_limit(target));
+}
+
+io::target_pool& target_connections::pool_of(const member& peer)
+{
+    return find_or_create(peer_pools_[peer.name], peer.caller_address,
+                          max_pool_connections);
+}
+
+io::target_pool& target_connections::find_or_create(entry& found,
+                                                    const std::string& address,
+                                                    std::size_t max_connections)
+{
+    if (found.pool && found.address == address)
         return *found.pool;
     if (found.pool)
         retired_.push_back(std::move(found.pool));
     io::target_pool_settings settings;
     settings.id_header = adapter_.headers.attempt_id;
-    settings.max_connections = connection_limit(target);
-    found.address = target.address;
+    settings.max_connections = max_connections;
+    found.address = address;
     found.pool = std::make_unique<io::target_pool>(
-        loop_, io::parse_address(target.address), std::move(settings));
+        loop_, io::parse_address(address), std::move(settings));
     return *found.pool;
 }
 
@@ -65,6 +78,11 @@
     std::erase_if(retired_, [](const auto& pool) {
         return pool->open_connections() == 0;
     });
+    for (auto each = peer_pools_.begin(); each != peer_pools_.end();) {
+        each->second.pool->sweep(now);
+        const bool unused = each->second.pool->open_connections() == 0;
+        each = unused ? peer_pools_.erase(each) : std::next(each);
+    }
     for (auto each = pools_.begin(); each != pools_.end();) {
         each->second.pool->sweep(now);
         const bool listed = cluster_.targets.find(each->first) != nullptr;
--- a/apps/router/targets/target_connections.hpp
+++ b/apps/router/targets/target_connections.hpp
@@ -20,6 +20,10 @@
     /// \throws error  when the target's address cannot be used
     io::target_pool& pool_of(const listed_target& target);
 
+    /// Connections to a peer, for requests that are relayed to it.
+    /// \throws error  when the peer's address cannot be used
+    io::target_pool& pool_of(const member& peer);
+
 private:
     struct entry
     {
@@ -27,6 +31,8 @@
         std::unique_ptr<io::target_pool> pool;
     };
 
+    io::target_pool& find_or_create(entry& found, const std::string& address,
+                                    std::size_t max_connections);
     void sweep();
     std::size_t connection_limit(const listed_target& target) const;
 
@@ -34,6 +40,7 @@
     const cluster_view& cluster_;
     const platform_adapter& adapter_;
     std::map<target_id, entry> pools_;
+    std::map<entry_id, entry> peer_pools_;
     /// Pools of targets whose address has changed, until their calls end.
     std::vector<std::unique_ptr<io::target_pool>> retired_;
     io::timer sweep_timer_;
--- a/apps/router/targets/target_message.cpp
+++ b/apps/router/targets/target_message.cpp
@@ -1,5 +1,6 @@
 #include "targets/target_message.hpp"
 
+#include "requests/problem.hpp"
 #include "vanillapost/base.hpp"
 
 #include <algorithm>
@@ -10,18 +11,19 @@
 
 constexpr int status_misdirected = 421;
 
-} // namespace
-
-std::string format_target_message(const io::http_request& request,
-                                  const listed_target& target,
-                                  const header_names& names, duration left)
+/// \param default_host  for a request without a `Host` header
+/// \param added         a header that the receiver gets in addition
+std::string format_message(const io::http_request& request,
+                           std::string_view default_host,
+                           const header_names& names, duration left,
+                           const io::header_field& added)
 {
     const auto host = io::find_header(request.headers, "Host");
     const auto connection =
         io::find_header(request.headers, "Connection").value_or("");
     std::string text =
         request.method + ' ' + request.target +
-        " HTTP/1.1\r\nHost: " + std::string(host.value_or(target.address)) +
+        " HTTP/1.1\r\nHost: " + std::string(host.value_or(default_host)) +
         "\r\n";
     for (const auto& field : request.headers) {
         const bool replaced =
@@ -33,7 +35,7 @@
     }
     const auto left_ms = std::max<std::int64_t>(to_ms(left), 1);
     text += names.deadline_ms + ": " + std::to_string(left_ms) + "\r\n";
-    text += names.target_instance + ": " + target.id.value + "\r\n";
+    text += added.name + ": " + added.value + "\r\n";
     const bool has_length =
         !request.body.empty() ||
         io::find_header(request.headers, "Content-Length").has_value();
@@ -43,6 +45,24 @@
     return text + "\r\n" + request.body;
 }
 
+} // namespace
+
+std::string format_target_message(const io::http_request& request,
+                                  const listed_target& target,
+                                  const header_names& names, duration left)
+{
+    return format_message(request, target.address, names, left,
+                          {names.target_instance, target.id.value});
+}
+
+std::string format_relayed_request(const io::http_request& request,
+                                   const member& self,
+                                   const header_names& names, duration left)
+{
+    return format_message(request, self.caller_address, names, left,
+                          {std::string(relayed_by_header), self.name.value});
+}
+
 attempt_outcome classify_answer(const io::target_answer_head& head,
                                 const header_names& names)
 {
@@ -62,6 +82,20 @@
     return attempt_answered{head.status};
 }
 
+attempt_outcome classify_peer_answer(const io::target_answer_head& head,
+                                     const header_names& names)
+{
+    // A target's own refusal, passed on, has not run either.
+    const bool is_promise = head.status == status_request_timeout ||
+                            head.status == status_misdirected ||
+                            head.status == status_too_many_requests ||
+                            head.status == status_unavailable;
+    const bool sealed = io::find_header(head.headers, names.seal).has_value();
+    if (is_promise && !sealed)
+        return attempt_refused{head.status};
+    return classify_answer(head, names);
+}
+
 std::optional<load_report> read_report(const io::target_answer_head& head,
                                        const platform_adapter& adapter)
 {
--- a/apps/router/targets/target_message.hpp
+++ b/apps/router/targets/target_message.hpp
@@ -3,6 +3,7 @@
 
 #include "adapters/platform_adapter.hpp"
 #include "vanillapost/attempts.hpp"
+#include "vanillapost/members.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
 namespace vanillapost::router {
@@ -18,6 +19,20 @@
 attempt_outcome classify_answer(const io::target_answer_head& head,
                                 const header_names& names);
 
+/// In requests that an instance relays to a peer.
+inline constexpr std::string_view relayed_by_header = "Relayed-By";
+
+/// Returns the request as sent to a peer, which is to send it to a target.
+/// \param left  time left for the answer
+std::string format_relayed_request(const io::http_request& request,
+                                   const member& self,
+                                   const header_names& names, duration left);
+
+/// Returns the outcome of a relayed request. A peer's own refusal promises that
+/// the request has not run.
+attempt_outcome classify_peer_answer(const io::target_answer_head& head,
+                                     const header_names& names);
+
 /// The load report in an answer; nothing when it is missing or unreadable.
 std::optional<load_report> read_report(const io::target_answer_head& head,
                                        const platform_adapter& adapter);
--- a/apps/router/targets/target_signal_recorder.cpp
+++ b/apps/router/targets/target_signal_recorder.cpp
@@ -19,6 +19,7 @@
 void target_signal_recorder::record(const signal_source& source,
                                     const io::target_answer_head& head)
 {
+    cluster_.reach.on_answer();
     const auto& target = source.target;
     const auto outcome = classify_answer(head, adapter_.headers);
     if (!is_from(target, head, outcome))
@@ -40,6 +41,11 @@
     record_rate_limit(source, head, outcome);
 }
 
+void target_signal_recorder::record_silence(const target_id& target)
+{
+    cluster_.reach.on_silence(target, loop_.now());
+}
+
 // The address may have been taken over by another target, whose answers say
 // nothing about this one.
 bool target_signal_recorder::is_from(const target_id& target,
--- a/apps/router/targets/target_signal_recorder.hpp
+++ b/apps/router/targets/target_signal_recorder.hpp
@@ -46,6 +46,9 @@
     void record(const signal_source& source,
                 const io::target_answer_head& head);
 
+    /// A target could not be connected to, or has not answered in time.
+    void record_silence(const target_id& target);
+
 private:
     bool is_from(const target_id& target, const io::target_answer_head& head,
                  const attempt_outcome& outcome) const;
--- a/include/vanillapost/src/io/caller_server.hpp
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -101,8 +101,9 @@
     /// For connections and requests from now on.
     void set_limits(const caller_server_limits& limits);
 
-    /// Answers say `Connection: close` from now on where nothing follows.
-    void announce_close();
+    /// Sets whether answers from now on say `Connection: close` where nothing
+    /// follows.
+    void announce_close(bool announced = true);
 
     /// Refuses new connections and closes those without a request.
     void stop_accepting();
--- a/include/vanillapost/src/members/member.hpp
+++ b/include/vanillapost/src/members/member.hpp
@@ -70,6 +70,8 @@
     /// a request lately: a share of a rate limit assigned to it would go
     /// unused.
     bool is_idle = false;
+    /// It is partitioned from all targets, so callers have to use others.
+    bool is_cut_off = false;
     store_access store = store_access::untried;
     state_revisions revisions;
     /// Digest of the members that it considers live; 0 when it sends none.
--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -107,9 +107,12 @@
     /// Live members, without this one.
     std::vector<peer_status> live_peers(time_point now) const;
 
-    /// Live members that accept requests, without this one.
+    /// Live members that accept requests and reach targets, without this one.
     std::vector<member> ready_peers(time_point now) const;
 
+    /// Live members that accept requests but are partitioned from all targets.
+    std::vector<member> cut_off_peers(time_point now) const;
+
     duration heartbeat_interval() const
     {
         return settings_.heartbeat;
@@ -135,6 +138,7 @@
     };
 
     bool is_live(const entry& each, time_point now) const;
+    bool is_ready(const entry& each, time_point now) const;
 
     member self_;
     member_table_settings settings_;
--- a/include/vanillapost/targets.hpp
+++ b/include/vanillapost/targets.hpp
@@ -7,6 +7,7 @@
 #include "src/targets/departure_tracker.hpp"
 #include "src/targets/listed_target.hpp"
 #include "src/targets/rate_limits.hpp"
+#include "src/targets/reach_detector.hpp"
 #include "src/targets/target_catalog.hpp"
 #include "src/targets/versioned_rate_limit.hpp"
 
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -278,9 +278,9 @@
     state_->host.limits = limits;
 }
 
-void caller_server::announce_close()
+void caller_server::announce_close(bool announced)
 {
-    state_->host.closing = true;
+    state_->host.closing = announced;
 }
 
 void caller_server::stop_accepting()
--- a/src/members/member_codec.cpp
+++ b/src/members/member_codec.cpp
@@ -74,6 +74,8 @@
         message["p"] = true;
     if (heartbeat.is_idle)
         message["u"] = true;
+    if (heartbeat.is_cut_off)
+        message["c"] = true;
     if (heartbeat.view_digest != 0)
         message["v"] = heartbeat.view_digest;
     return message;
@@ -110,6 +112,8 @@
             document.contains("p") && document.at("p").get<bool>();
         heartbeat.is_idle =
             document.contains("u") && document.at("u").get<bool>();
+        heartbeat.is_cut_off =
+            document.contains("c") && document.at("c").get<bool>();
         if (document.contains("v"))
             heartbeat.view_digest =
                 read_unsigned(document, "v", max_exact_whole);
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -144,7 +144,7 @@
     bool changed = std::exchange(changed_, false);
     for (auto& [name, peer] : peers_) {
         const bool live = is_live(peer, now);
-        const bool ready = live && peer.heartbeat.ready;
+        const bool ready = is_ready(peer, now);
         const bool active = ready && !peer.heartbeat.is_idle;
         changed = changed || live != peer.was_live || ready != peer.was_ready ||
                   active != peer.was_active;
@@ -185,21 +185,36 @@
 {
     std::vector<member> result;
     for (const auto& [name, peer] : peers_)
-        if (is_live(peer, now) && peer.heartbeat.ready)
+        if (is_ready(peer, now))
             result.push_back(peer.who);
     return result;
 }
 
-std::vector<member> member_table::active_peers(time_point now) const
+std::vector<member> member_table::cut_off_peers(time_point now) const
 {
     std::vector<member> result;
     for (const auto& [name, peer] : peers_)
         if (is_live(peer, now) && peer.heartbeat.ready &&
-            !peer.heartbeat.is_idle)
+            peer.heartbeat.is_cut_off)
+            result.push_back(peer.who);
+    return result;
+}
+
+std::vector<member> member_table::active_peers(time_point now) const
+{
+    std::vector<member> result;
+    for (const auto& [name, peer] : peers_)
+        if (is_ready(peer, now) && !peer.heartbeat.is_idle)
             result.push_back(peer.who);
     return result;
 }
 
+bool member_table::is_ready(const entry& each, time_point now) const
+{
+    return is_live(each, now) && each.heartbeat.ready &&
+           !each.heartbeat.is_cut_off;
+}
+
 bool member_table::is_live(const entry& each, time_point now) const
 {
     if (each.heartbeat.leaving || (!each.last_heard && !each.reported_live))
--- a/test/members.cpp
+++ b/test/members.cpp
@@ -325,6 +325,30 @@
     return {make_member(name, "d1"), heartbeat, 0ms};
 }
 
+// Callers were sent to members that reached no target.
+TEST(MemberTable, OneThatIsCutOffFromTargetsIsNotReady)
+{
+    member_table table(make_member("self", "d1"));
+    table.on_identity(make_member("a", "d1"), start);
+    auto heartbeat = make_heartbeat("a");
+    heartbeat.ready = true;
+    table.on_heartbeat(heartbeat, start);
+    EXPECT_EQ(table.ready_peers(start).size(), 1U);
+    table.advance(start);
+    heartbeat.is_cut_off = parse_member_heartbeat([&] {
+                               auto cut = heartbeat;
+                               cut.is_cut_off = true;
+                               return to_json(cut);
+                           }())
+                               .is_cut_off;
+    table.on_heartbeat(heartbeat, start);
+    EXPECT_TRUE(table.advance(start));
+    EXPECT_TRUE(table.ready_peers(start).empty());
+    EXPECT_TRUE(table.active_peers(start).empty());
+    EXPECT_EQ(table.cut_off_peers(start).size(), 1U);
+    EXPECT_EQ(table.live_peers(start).size(), 1U);
+}
+
 // Members relied on readers of the version before, which knew no epochs, and
 // so got no change that they could use.
 TEST(ReaderElection, ReadersOfAnEarlierEpochAreNotReliedOn)
--- a/test/platform/fleet.py
+++ b/test/platform/fleet.py
@@ -8,12 +8,13 @@
 import subprocess
 import tempfile
 import time
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
 import wire
 from caller import Caller, get
-from proxy import Proxy
+from proxy import Proxy, watched
 from relay import Relay, address_of
 from rude import RudeCaller
 from store import Store
@@ -102,6 +103,7 @@
             self.process = subprocess.Popen(
                 [BIN / "vanillapost-router", "--settings", self._file],
                 stdout=output or log, stderr=log)
+        watched.add(self.process.pid)
 
     def signal(self, number):
         if self.process and self.process.poll() is None:
@@ -264,6 +266,19 @@
         self.targets.append(target)
         return target
 
+    @contextmanager
+    def partitioned(self, *routers, resets=False):
+        """These routers reach no target meanwhile; all else reaches them."""
+        cut = {router.process.pid for router in routers}
+        for proxy in self.proxies.values():
+            proxy.cut_resets = resets
+            proxy.cut = proxy.cut | cut
+        try:
+            yield
+        finally:
+            for proxy in self.proxies.values():
+                proxy.cut = proxy.cut - cut
+
     def targets_of(self, service):
         return [t for t in self.targets if t.service == service]
 
--- a/test/platform/test_incidents.py
+++ b/test/platform/test_incidents.py
@@ -10,10 +10,12 @@
 sys.path.insert(0, os.path.dirname(__file__))
 
 import wire  # noqa: E402
+from caller import get  # noqa: E402
 from fleet import BIN, LOOKUP, Fleet, Route  # noqa: E402
 
 CONFIG_BOUND_S = 2.0  # from the acknowledgement of a version
 NO_UTF8 = b"\xc1\xbf\x80 written by somebody else"
+CONTACT_S = 3.0  # from a disruption on, until a router counts as in touch
 VERSION = "vanillapost_configuration_version"
 MEMBERS_READ_S = 7.0  # a router that hears nobody asks every 5 s
 START_S = 5.0
@@ -219,6 +221,66 @@
     asyncio.run(scenario())
 
 
+def play_partition(cut, resets=False, judge=lambda fleet: None):
+    """Six routers, of which some reach no target for some seconds; callers
+    that know the addresses of these go on asking them."""
+
+    async def scenario():
+        async with Fleet(routers=6, proxied=True) as fleet:
+            await fleet.wait_ready()
+            await asyncio.sleep(2)
+            routers = [fleet.routers[i] for i in cut]
+            load = asyncio.gather(
+                fleet.load(11),
+                *(fleet.caller(f"direct-{r.name}", only=r).run(
+                    fleet.routes, 0.05, time.monotonic() + 11)
+                  for r in fleet.routers))
+            await asyncio.sleep(1)
+            with fleet.partitioned(*routers, resets=resets):
+                bound = time.monotonic() + CONTACT_S
+                await asyncio.sleep(6)
+                end = time.monotonic()
+            healed = end + CONTACT_S
+            await load
+            fleet.truth.check_end()
+            assert fleet.truth.violations == []
+            for router in fleet.routers:
+                direct = f"direct-{router.name}"
+                assert fleet.truth.served(bound, end, direct) > SERVED
+                assert fleet.truth.served(healed, callers=direct) > SERVED
+            judge(fleet)
+
+    asyncio.run(scenario())
+
+
+def test_callers_of_routers_without_targets_were_not_served():
+    play_partition((0, 1, 3))
+
+
+def test_callers_of_a_router_whose_connections_are_refused_were_not_served():
+    play_partition((2, 5), resets=True)
+
+
+def test_routers_called_themselves_cut_off_as_all_targets_were_silent():
+    async def scenario():
+        async with Fleet(routers=3, proxied=True) as fleet:
+            await fleet.wait_ready()
+            with fleet.partitioned(*fleet.routers):
+                caller = fleet.caller("c")
+                until = time.monotonic() + 4
+                while time.monotonic() < until:
+                    await caller.request(LOOKUP)
+                found = await get(fleet.routers[0].directory,
+                                  "/resolve?name=x&region=r&zone=a")
+                assert found.status == 200
+            await asyncio.sleep(1.5)
+            since = time.monotonic()
+            await fleet.load(2)
+            assert fleet.truth.served(since) > SERVED
+
+    asyncio.run(scenario())
+
+
 def test_a_hang_up_at_the_start_ended_a_router():
     async def scenario():
         async with Fleet(routers=1) as fleet:
--- a/test/target_message.cpp
+++ b/test/target_message.cpp
@@ -99,4 +99,37 @@
     EXPECT_TRUE(classified_as<attempt_answered>(421, {{"Proof", "x"}}));
 }
 
+TEST(RelayedRequest, SaysWhoRelaysItAndNamesNoTarget)
+{
+    const io::http_request request{
+        "POST", "/a", {{"Host", "h"}, {"Id", "7"}, {"only", "t2"}}, "body"};
+    member self;
+    self.name = {"r1"};
+    const auto text =
+        format_relayed_request(request, self, make_names(), 250ms);
+    for (const auto* line :
+         {"Host: h\r\n", "Id: 7\r\n", "Left: 250\r\n", "Relayed-By: r1\r\n"})
+        EXPECT_TRUE(has(text, line)) << line;
+    EXPECT_FALSE(has(text, "only: "));
+    EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
+}
+
+TEST(RelayedRequest, OnlyARefusalOfThePeerPromisesThatItDidNotRun)
+{
+    const auto outcome = [](int status, io::header_list headers) {
+        return classify_peer_answer({status, std::move(headers), 0},
+                                    make_names());
+    };
+    for (const int status : {408, 421, 429, 503})
+        EXPECT_FALSE(may_have_run(outcome(status, {}))) << status;
+    for (const int status : {200, 404, 500, 502, 504})
+        EXPECT_TRUE(may_have_run(outcome(status, {}))) << status;
+    // A target wrote these.
+    for (const int status : {200, 429, 500, 503}) {
+        const auto sealed = outcome(status, {{"Proof", "x"}});
+        EXPECT_TRUE(std::holds_alternative<attempt_answered>(sealed));
+    }
+    EXPECT_FALSE(may_have_run(outcome(503, {{"Not-Run", "1"}})));
+}
+
 } // namespace
