Test answers that end in their head, repeated refusals and odd ports

Reports of other operators: a target that closes within its answer's head (a 200 framed as whole), an earlier refusal that is written once more on a kept connection (told as not run), a row with a port out of range.

Ruled out by the tests: a head that ends early, at each of its bytes, is a failure that may have run; a refusal with the id of an earlier request is dropped and the right answer awaited; rows with ports out of range are refused.

Suspected, not changed: a repeated refusal that bears no id at all is believed, as targets need not echo one.

Conclusion: cannot happen here but for that case.

--- a/test/platform_decode.cpp
+++ b/test/platform_decode.cpp
@@ -72,7 +72,9 @@
         broken[at] = nlohmann::json::array({1});
         EXPECT_THROW(decode_target("i", broken.dump()), error) << path;
     }
-    for (const auto* address : {"", "nowhere", "10.0.0.1", "a.example:80"}) {
+    for (const auto* address :
+         {"", "nowhere", "10.0.0.1", "a.example:80", "10.0.0.1:0",
+          "10.0.0.1:-1", "10.0.0.1:65536", "10.0.0.1:99999999999999999999"}) {
         auto unusable = whole;
         unusable["address"] = address;
         EXPECT_THROW(decode_target("i", unusable.dump()), error) << address;
--- a/test/target_pool.cpp
+++ b/test/target_pool.cpp
@@ -119,6 +119,52 @@
     EXPECT_FALSE(p.pool.has_idle());
 }
 
+// Callers were told that a request had not run, by an earlier refusal that a
+// target wrote once more.
+TEST(TargetPool, ARefusalWrittenOnceMoreIsNotTheNextAnswer)
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nId: 0\r\nNot-Run: 1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    pooled p;
+    noted before;
+    before.call = p.pool.start({request_bytes, "0", false}, before.handlers());
+    auto& stream = p.await_request();
+    stream.send(refusal);
+    p.await(before);
+    EXPECT_EQ(before.head.status, 503);
+    noted call;
+    p.start(call);
+    p.await_request();
+    stream.send(refusal);
+    for (int i = 0; i < 20; ++i)
+        run_until(p.loop, [] { return true; });
+    EXPECT_EQ(call.head.status, 0);
+    stream.send(answer);
+    p.await(call);
+    EXPECT_TRUE(call.done);
+    EXPECT_EQ(call.head.status, 200);
+    EXPECT_FALSE(p.pool.has_idle());
+}
+
+// Callers got a 200 with an empty body, framed as whole.
+TEST(TargetPool, AnAnswerThatEndsWithinItsHeadIsNoAnswer)
+{
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\n";
+    for (std::size_t size = 1; size < head.size(); ++size) {
+        pooled p;
+        noted call;
+        p.start(call);
+        auto& stream = p.await_request();
+        stream.send(head.substr(0, size));
+        stream.close();
+        p.await(call);
+        ASSERT_TRUE(call.failure) << size;
+        EXPECT_TRUE(call.failure->sent) << size;
+        EXPECT_EQ(call.head.status, 0) << size;
+    }
+}
+
 TEST(TargetPool, UnaskedBytesOnAnIdleConnectionEndIt)
 {
     pooled p;
