Choose the peer of a relay with the iterator form of partition

Cause: clang-tidy 14 cannot parse the subrange that the range form returns with the installed standard library, so that the lint step failed.

Change: std::partition; the choice is the same. Ruled out: a fault at run time; the compiler and the tests were clean.

Conclusion: lint of the changed files is clean again.

--- a/apps/router/requests/request_relay.cpp
+++ b/apps/router/requests/request_relay.cpp
@@ -40,10 +40,12 @@
     std::erase_if(peers, [&](const member& each) {
         return std::ranges::find(tried_, peer_as_target(each)) != tried_.end();
     });
-    const auto others = std::ranges::partition(peers, [&](const member& each) {
-        return each.data_centre == self.data_centre;
-    });
-    const auto locals = peers.size() - others.size();
+    const auto others =
+        std::partition(peers.begin(), peers.end(), [&](const member& each) {
+            return each.data_centre == self.data_centre;
+        });
+    const auto locals =
+        static_cast<std::size_t>(std::distance(peers.begin(), others));
     const auto count = locals > 0 ? locals : peers.size();
     if (count == 0)
         return std::nullopt;
