--- a/apps/router/targets/reach_monitor.cpp
+++ b/apps/router/targets/reach_monitor.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-constexpr duration check_interval = std::chrono::milliseconds(100);
-/// Targets that are probed at each check.
-constexpr std::size_t probes_at_once = 2;
+constexpr duration check_interval = std::chrono::milliseconds(200);
+/// Targets that are probed at each check. Where targets are slow rather than
+/// out of reach, more probes would add to their load.
+constexpr std::size_t probes_at_once = 1;
 /// No request waits for these probes.
 constexpr std::uint64_t no_waiter = 0;
 
