Remove a list that a test of a restored store filled and never read

The test checks that callers are served while all targets of a service are ones that the restored store lacks. No check is changed.

--- a/test/platform/test_incidents.py
+++ b/test/platform/test_incidents.py
@@ -185,14 +185,11 @@
 
 
 def test_a_target_that_joined_before_a_restore_was_out_of_use():
-    joined = []
-
     async def change(fleet):
         for target in fleet.targets_of("stock"):
             await target.leave()
         for zone in ("a", "b"):
-            target = await fleet.add_target("stock", zone)
-            joined.append(target.id)
+            await fleet.add_target("stock", zone)
 
     play_restore(change, rewrite_s=1.5)
 
