--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,15 +1,15 @@
-"""LOST: a planned stop closes connections on which answers are still being
-written, since their requests count as done.
+"""LOST: a backend crashes in the middle of downloads, and requests that wait
+behind these on the same connections lose their answers, though their own
+backends are sound and have made them.
 
-Clients of router-0 fetch a file of about 1 MB over a slow line. Router-0 gets
-SIGTERM meanwhile, and ends long before its grace period is over.
+Clients of router-0 send a download each, and three small requests behind it.
+One of the seven backends of the downloads crashes while it sends.
 """
 
 import asyncio
-import signal
-import socket
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -18,108 +18,105 @@
 import bed as b  # noqa: E402
 from bed import wire  # noqa: E402
 
-FILE_BYTES = 1_040_000
-BYTES_PER_S = 150_000  # of each client's line; a file takes 6.9 s
-DEADLINE_MS = 8000  # and the route's timeout
-CLIENTS = 6
-BEFORE_STOP_S = 0.6
+MIB = 1024 * 1024
+FILE_BYTES = 8 * MIB
+DEADLINE_MS = 2500
+CLIENTS = 12
+BEHIND = 3
+SEND_S = 1.0  # a file comes in two halves, so long after each other
+ALLOWED = 3  # the rule: more than three times
 
 
 class Client:
-    """Reads no faster than its line. Its window and segments are those of
-    such a line, not of a loopback."""
+    def __init__(self, bed, address):
+        self.bed, self.address = bed, address
+        self.answers = {}
+        self.lost = {}  # id: time of the end
 
-    def __init__(self, bed, number, address):
-        self.bed, self.id, self.address = bed, f"file-{number}", address
-        self.sent = self.ended = 0.0
-        self.got, self.whole, self.how = 0, None, ""
-
-    async def run(self):
+    async def run(self, number):
         ip, _, port = self.address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        with socket.socket() as link:
-            link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-            link.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
-            link.setblocking(False)
-            await loop.sock_connect(link, (ip, int(port)))
-            self.sent = time.monotonic()
-            self.bed.record.note("client", "sent", id=self.id)
-            await loop.sock_sendall(link, wire.format_message(
-                f"GET /file/{self.id} HTTP/1.1",
-                [("Host", self.bed.HOST), (b.ID, self.id),
-                 (b.DEADLINE, DEADLINE_MS)], length=False))
-            await self._read(loop, link)
-        self.ended = time.monotonic()
-        self.bed.record.note(
-            "client", self.how, id=self.id, bytes=self.got, whole=self.whole,
-            after_s=f"{self.ended - self.sent:.3f}")
-
-    async def _read(self, loop, link):
-        head = b""
-        while time.monotonic() < self.sent + DEADLINE_MS / 1000:
-            try:
-                piece = await loop.sock_recv(link, 4096)
-            except OSError as failure:
-                self.how = "reset"
-                self.bed.record.note("client", "reset", why=failure)
-                return
-            if not piece:
-                self.how = "closed"
-                return
-            self.got += len(piece)
-            if self.whole is None:
-                head += piece
-                end = head.find(b"\r\n\r\n")
-                if end >= 0:
-                    self.whole = end + 4 + FILE_BYTES
-                    self.bed.record.note(
-                        "client", "head", id=self.id,
-                        closes=b"connection: close" in head[:end].lower())
-            if self.got == self.whole:
-                self.how = "complete"
-                return
-            due = self.sent + self.got / BYTES_PER_S
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-        self.how = "deadline"
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        waiting = [f"c{number}-file"]
+        waiting += [f"c{number}-look{i}" for i in range(BEHIND)]
+        # One request first, so that the connection is a kept one.
+        await self._send(writer, f"c{number}-first", "/look/0")
+        await self._answer(reader, f"c{number}-first")
+        await self._send(writer, waiting[0], f"/file/{number}")
+        for attempt in waiting[1:]:
+            await asyncio.sleep(0.02)
+            await self._send(writer, attempt, "/look/1")
+        try:
+            while waiting:
+                await self._answer(reader, waiting[0])
+                waiting.pop(0)
+        except wire.Broken as failure:
+            for attempt in waiting:
+                self.lost[attempt] = time.monotonic()
+                self.bed.record.note("client", "closed", id=attempt,
+                                     why=failure)
+        writer.close()
+
+    async def _send(self, writer, attempt, path):
+        self.bed.record.note("client", "sent", id=attempt)
+        writer.write(wire.format_message(
+            f"GET {path} HTTP/1.1",
+            [("Host", self.bed.HOST), (b.ID, attempt),
+             (b.DEADLINE, DEADLINE_MS)], length=False))
+
+    async def _answer(self, reader, attempt):
+        answer = await asyncio.wait_for(
+            wire.read_message(reader, answer=True), DEADLINE_MS / 1000 + 1)
+        self.answers[attempt] = answer.status
+        self.bed.record.note("client", "answer", id=attempt,
+                             status=answer.status)
+
+
+async def send_slowly(_, headers, body, writer):
+    whole = wire.format_message("HTTP/1.1 200 OK", headers, body)
+    writer.write(whole[:FILE_BYTES // 2])
+    await asyncio.sleep(SEND_S)
+    writer.write(whole[FILE_BYTES // 2:])
+    await writer.drain()
+    return True
 
 
 async def play():
-    bed = b.Bed(HERE, [b.route("files", "/file/", "archive", "download",
-                               DEADLINE_MS)], ["archive"])
+    bed = b.Bed(HERE, [b.route("look", "/look/", "stock"),
+                       b.route("files", "/file/", "archive", "download")],
+                ["stock", "archive"])
     async with bed:
         for zone in "abc":
-            await bed.add("archive", zone, work_s=0.096, size=FILE_BYTES)
+            await bed.add("stock", zone)
+        for zone in "aaabbcc":
+            backend = await bed.add("archive", zone, work_s=0.1,
+                                    size=FILE_BYTES)
+            backend.send = send_slowly
         await bed.start_routers()
-        router = bed.routers[0]
-        clients = [Client(bed, i, router.front) for i in range(CLIENTS)]
-        running = [asyncio.create_task(c.run()) for c in clients]
-        await asyncio.sleep(BEFORE_STOP_S)
-        stopped = time.monotonic()
+        client = Client(bed, bed.routers[0].front)
+        running = [asyncio.create_task(client.run(n)) for n in range(CLIENTS)]
+        await asyncio.sleep(SEND_S * 0.9)
+        files = Counter(ran[-1][0] for attempt, ran in bed.runs.items()
+                        if attempt.endswith("file"))
+        crashed, downloads = files.most_common(1)[0]
         if b.TROUBLE:
-            router.signal(signal.SIGTERM)
-            if await router.wait_end(b.GRACE_S + 2) is not None:
-                print(f"router-0 ended {time.monotonic() - stopped:.2f} s "
-                      "after the SIGTERM")
+            bed.record.note(crashed, "crash", downloads=downloads)
+            await next(x for x in bed.backends if x.id == crashed).stop()
         await asyncio.gather(*running)
-        return judge(bed, clients)
-
-
-def judge(bed, clients):
-    """LOST as written, around a planned stop: the backend has done its part,
-    and neither the deadline nor the route's timeout was reached."""
-    broken = []
-    for client in clients:
-        if client.how not in ("closed", "reset") or \
-                client.id not in bed.answered or \
-                client.ended - client.sent >= DEADLINE_MS / 1000:
-            continue
-        made = bed.answered[client.id] - client.sent
-        broken.append(f"LOST {client.id}: its backend had answered after "
-                      f"{made:.3f} s, connection ended with {client.got} of "
-                      f"{client.whole} bytes")
-    bed.record.note("judge", "verdict", broken=len(broken),
-                    complete=sum(c.how == "complete" for c in clients))
-    return broken
+        return judge(bed, client, crashed)
+
+
+def judge(bed, client, crashed):
+    """LOST as written, at any time: passed on to a sound backend, and the
+    kept connection closed without an answer, more than three times."""
+    lost = [a for a in client.lost if "look" in a and a in bed.runs and
+            bed.runs[a][0][0] != crashed]
+    bed.record.note("judge", "verdict", lost=len(lost), allowed=ALLOWED)
+    print(f"{len(lost)} requests of sound backends lost, answered by these: "
+          f"{sum(a in bed.answered for a in lost)}")
+    if len(lost) <= ALLOWED:
+        return []
+    return [f"LOST {a}: run by {bed.runs[a][0][0]}, which is sound; its "
+            "connection ended without an answer" for a in lost]
 
 
 b.main(play)
