Crash the backend of case 5 only when all downloads have begun

Seen: case 5 held once, as its backend crashed after the downloads. It now waits for them, with a longer pause between their halves.

--- a/review/5/run.py
+++ b/review/5/run.py
@@ -23,7 +23,7 @@
 DEADLINE_MS = 2500
 CLIENTS = 12
 BEHIND = 3
-SEND_S = 1.0  # a file comes in two halves, so long after each other
+SEND_S = 1.6  # a file comes in two halves, so long after each other
 ALLOWED = 3  # the rule: more than three times
 
 
@@ -94,7 +94,9 @@
         await bed.start_routers()
         client = Client(bed, bed.routers[0].front)
         running = [asyncio.create_task(client.run(n)) for n in range(CLIENTS)]
-        await asyncio.sleep(SEND_S * 0.9)
+        while sum(a.endswith("file") for a in bed.runs) < CLIENTS:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(SEND_S / 2)  # the first halves are out
         files = Counter(ran[-1][0] for attempt, ran in bed.runs.items()
                         if attempt.endswith("file"))
         crashed, downloads = files.most_common(1)[0]
