--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,15 +1,13 @@
-"""LOST: a backend crashes in the middle of downloads, and requests that wait
-behind these on the same connections lose their answers, though their own
-backends are sound and have made them.
+"""LOST: a planned stop cuts requests of a client that pipelines.
 
-Clients of router-0 send a download each, and three small requests behind it.
-One of the seven backends of the downloads crashes while it sends.
+One client of router-0 sends a small idempotent request every 60 ms on one
+connection, without waiting for the answer before. Router-0 gets SIGTERM.
 """
 
 import asyncio
+import signal
 import sys
 import time
-from collections import Counter
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -18,107 +16,109 @@
 import bed as b  # noqa: E402
 from bed import wire  # noqa: E402
 
-MIB = 1024 * 1024
-FILE_BYTES = 8 * MIB
+EVERY_S = 0.06  # between two requests; a backend works for 0.12 s
 DEADLINE_MS = 2500
-CLIENTS = 12
-BEHIND = 3
-SEND_S = 1.6  # a file comes in two halves, so long after each other
-ALLOWED = 3  # the rule: more than three times
+LATE_SEND_S = 3.0  # sent later than this, "still at work" excuses nothing
 
 
 class Client:
-    def __init__(self, bed, address):
-        self.bed, self.address = bed, address
-        self.answers = {}
-        self.lost = {}  # id: time of the end
+    """Keeps to the directory's answer for three times its ttl, as the pages
+    allow, and to one connection until the router closes or says so."""
 
-    async def run(self, number):
+    def __init__(self, bed, address, use_until):
+        self.bed, self.address, self.use_until = bed, address, use_until
+        self.sent = {}  # id: time, in order
+        self.answers = {}  # id: status
+        self.told_to_close = False
+        self.closed_at = None
+
+    async def run(self):
         ip, _, port = self.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(ip, int(port))
-        waiting = [f"c{number}-file"]
-        waiting += [f"c{number}-look{i}" for i in range(BEHIND)]
-        # One request first, so that the connection is a kept one.
-        await self._send(writer, f"c{number}-first", "/look/0")
-        await self._answer(reader, f"c{number}-first")
-        await self._send(writer, waiting[0], f"/file/{number}")
-        for attempt in waiting[1:]:
-            await asyncio.sleep(0.02)
-            await self._send(writer, attempt, "/look/1")
+        reader, self.writer = await asyncio.open_connection(ip, int(port))
+        reading = asyncio.create_task(self._read(reader))
+        number = 0
+        while time.monotonic() < self.use_until and not self.told_to_close \
+                and not self.closed_at:
+            number += 1
+            attempt = f"p{number:04}"
+            self.sent[attempt] = time.monotonic()
+            self.bed.record.note("client", "sent", id=attempt)
+            self.writer.write(wire.format_message(
+                f"GET /look/{number} HTTP/1.1",
+                [("Host", self.bed.HOST), (b.ID, attempt),
+                 (b.DEADLINE, DEADLINE_MS)], length=False))
+            await asyncio.sleep(EVERY_S)
+        # No more is sent; what is on its way has its whole deadline.
+        await asyncio.wait_for(
+            asyncio.wait([reading], timeout=DEADLINE_MS / 1000 + 1), 10)
+        reading.cancel()
+        self.writer.close()
+
+    async def _read(self, reader):
         try:
-            while waiting:
-                await self._answer(reader, waiting[0])
-                waiting.pop(0)
+            while True:
+                answer = await wire.read_message(reader, answer=True)
+                waiting = [i for i in self.sent if i not in self.answers]
+                self.answers[waiting[0]] = answer.status
+                self.bed.record.note(
+                    "client", "answer", id=waiting[0], status=answer.status,
+                    its_id=answer.header(b.ID),
+                    connection=answer.header("Connection"))
+                if (answer.header("Connection") or "").lower() == "close":
+                    self.told_to_close = True
         except wire.Broken as failure:
-            for attempt in waiting:
-                self.lost[attempt] = time.monotonic()
-                self.bed.record.note("client", "closed", id=attempt,
-                                     why=failure)
-        writer.close()
-
-    async def _send(self, writer, attempt, path):
-        self.bed.record.note("client", "sent", id=attempt)
-        writer.write(wire.format_message(
-            f"GET {path} HTTP/1.1",
-            [("Host", self.bed.HOST), (b.ID, attempt),
-             (b.DEADLINE, DEADLINE_MS)], length=False))
-
-    async def _answer(self, reader, attempt):
-        answer = await asyncio.wait_for(
-            wire.read_message(reader, answer=True), DEADLINE_MS / 1000 + 1)
-        self.answers[attempt] = answer.status
-        self.bed.record.note("client", "answer", id=attempt,
-                             status=answer.status)
-
-
-async def send_slowly(_, headers, body, writer):
-    whole = wire.format_message("HTTP/1.1 200 OK", headers, body)
-    writer.write(whole[:FILE_BYTES // 2])
-    await asyncio.sleep(SEND_S)
-    writer.write(whole[FILE_BYTES // 2:])
-    await writer.drain()
-    return True
+            self.closed_at = time.monotonic()
+            self.bed.record.note("client", "closed", why=failure)
 
 
 async def play():
-    bed = b.Bed(HERE, [b.route("look", "/look/", "stock"),
-                       b.route("files", "/file/", "archive", "download")],
-                ["stock", "archive"])
+    bed = b.Bed(HERE, [b.route("look", "/look/", "stock")], ["stock"])
     async with bed:
-        for zone in "abc":
+        for zone in "aabbcc":
             await bed.add("stock", zone)
-        for zone in "aaabbcc":
-            backend = await bed.add("archive", zone, work_s=0.1,
-                                    size=FILE_BYTES)
-            backend.send = send_slowly
         await bed.start_routers()
-        client = Client(bed, bed.routers[0].front)
-        running = [asyncio.create_task(client.run(n)) for n in range(CLIENTS)]
-        while sum(a.endswith("file") for a in bed.runs) < CLIENTS:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(SEND_S / 2)  # the first halves are out
-        files = Counter(ran[-1][0] for attempt, ran in bed.runs.items()
-                        if attempt.endswith("file"))
-        crashed, downloads = files.most_common(1)[0]
+        router = bed.routers[0]
+        found = await bed.resolve(router)
+        if router.front not in found["addresses"]:
+            raise b.CannotRun("the directory does not name router-0")
+        use_until = time.monotonic() + 3 * b.seconds(found["ttl"])
+        client = Client(bed, router.front, use_until)
+        running = asyncio.create_task(client.run())
+        await asyncio.sleep(0.15)
+        stopped = time.monotonic()
+        if b.TROUBLE:
+            router.signal(signal.SIGTERM)
+        await running
         if b.TROUBLE:
-            bed.record.note(crashed, "crash", downloads=downloads)
-            await next(x for x in bed.backends if x.id == crashed).stop()
-        await asyncio.gather(*running)
-        return judge(bed, client, crashed)
-
-
-def judge(bed, client, crashed):
-    """LOST as written, at any time: passed on to a sound backend, and the
-    kept connection closed without an answer, more than three times."""
-    lost = [a for a in client.lost if "look" in a and a in bed.runs and
-            bed.runs[a][0][0] != crashed]
-    bed.record.note("judge", "verdict", lost=len(lost), allowed=ALLOWED)
-    print(f"{len(lost)} requests of sound backends lost, answered by these: "
-          f"{sum(a in bed.answered for a in lost)}")
-    if len(lost) <= ALLOWED:
-        return []
-    return [f"LOST {a}: run by {bed.runs[a][0][0]}, which is sound; its "
-            "connection ended without an answer" for a in lost]
+            await router.wait_end(b.GRACE_S + 2)
+        return judge(bed, client, stopped)
+
+
+def judge(bed, client, stopped):
+    """LOST as written, around a planned stop."""
+    broken = []
+    for attempt, sent in client.sent.items():
+        ran = bed.runs.get(attempt)
+        planned = b.TROUBLE and stopped <= sent <= stopped + b.GRACE_S + 1
+        if attempt in client.answers or not ran:
+            continue
+        if b.TROUBLE and not planned:
+            continue
+        # The backend was still at work in the last sixth of the grace period
+        # on a request that was sent no later than 3 s after the SIGTERM.
+        if b.TROUBLE and sent <= stopped + LATE_SEND_S:
+            continue
+        ended = client.closed_at or time.monotonic()
+        if ended - sent >= DEADLINE_MS / 1000:
+            continue  # the deadline was reached
+        broken.append(f"LOST {attempt}: sent {sent - stopped:.3f} s after the "
+                      f"stop began, run by {ran[0][0]}, connection ended "
+                      f"{ended - sent:.3f} s later without its answer; the "
+                      f"client was never told to close: "
+                      f"{not client.told_to_close}")
+    bed.record.note("judge", "verdict", broken=len(broken),
+                    sent=len(client.sent), answered=len(client.answers))
+    return broken
 
 
 b.main(play)
