--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -365,6 +365,8 @@
 
 def main(play, limit_s=110):
     """Plays a case; its verdict is the exit status."""
+    # So that the routers end also when the script is told to.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         broken = asyncio.run(asyncio.wait_for(play(), limit_s))
     except CannotRun as failure:
