End a busy pipeline at a planned stop with its newest request

What callers saw: a caller that sends a request every 60 ms without waiting for the answers was never told that its router leaves.

Cause: an answer said `Connection: close` only if its request was the newest one of its connection when it began. With a request always behind it, that never is. Ruled out: that the header was sent and reading went on (it was in no answer of the record).

Change: `connection_end` holds the state of a connection's end, apart from sockets, in place of three booleans of caller_connection. At the first answer that begins after the SIGTERM the newest request becomes the last; nothing behind it is taken, it and all before it are answered, and its answer says `Connection: close`. Where no answer begins, the end of accepting chooses it. An answer that has begun says nothing any more: the next request is the last, or the connection is closed behind that answer without reading on.

Conclusion: a connection ends at a stop because its last request is chosen, not because its caller happens to pause.

--- a/include/vanillapost/src/io/caller_server.hpp
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -101,11 +101,12 @@
     /// For connections and requests from now on.
     void set_limits(const caller_server_limits& limits);
 
-    /// Sets whether answers from now on say `Connection: close` where nothing
-    /// follows.
+    /// Sets whether connections end from now on: each takes no further request
+    /// once an answer begins, and its last answer says `Connection: close`.
     void announce_close(bool announced = true);
 
-    /// Refuses new connections and closes those without a request.
+    /// Refuses new connections, closes those without a request, and takes no
+    /// further request on the others. It cannot be taken back.
     void stop_accepting();
 
     /// Requests without their whole answer.
--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_SRC_IO_DETAIL_CALLER_CONNECTION_HPP
 
 #include "../caller_server.hpp"
+#include "connection_end.hpp"
 #include "http1_reader.hpp"
 
 #include <deque>
@@ -22,6 +23,7 @@
     http_request request;
     std::string method; ///< stays when the request is taken
     bool keep_alive = true;
+    bool begun = false;       ///< the head of its answer is made
     bool has_body = true;     ///< of the answer
     bool knows_chunks = true; ///< its caller does
     bool chunked = false;
@@ -40,7 +42,7 @@
     event_loop* loop = nullptr;
     caller_server_limits limits;
     caller_server::handler handle;
-    bool closing = false; ///< answers say `Connection: close`
+    server_phase phase = server_phase::serving;
     std::size_t in_flight = 0;
     std::function<void(caller_connection&)> ended;
 };
@@ -71,12 +73,16 @@
     /// Closes it if no request is being read or answered.
     void close_if_idle();
 
+    /// To be called when the server closes: the newest request becomes the
+    /// last one.
+    void on_server_closing();
+
     /// Enforces the time limits.
     void check_time(time_point now);
 
-    /// Decides whether the answer of the slot says that it is the last one.
-    /// Then nothing is read behind it.
-    bool ends_with(caller_slot& slot);
+    /// To be called before the head of the slot's answer is made.
+    /// \return whether the answer says that it is the last one
+    bool begin_answer(caller_slot& slot);
 
 private:
     static void on_readable(bufferevent* stream, void* self);
@@ -100,7 +106,10 @@
     void check_reading(time_point now);
     void note_idle();
     void tell_to_go_on();
+    connection_load load() const;
+    void set_last();
     void close_gracefully();
+    void close_between_requests();
     void end();
 
     connection_host& host_;
@@ -112,10 +121,8 @@
     bool headers_read_ = false;
     bool body_too_large_ = false;
     bool wants_go_on_ = false; ///< its caller waits before it sends the body
-    bool closing_ = false;     ///< nothing more is read
-    bool wrote_close_ = false; ///< our side is shut down
     bool reading_ = false;
-    bool ended_ = false;
+    connection_end end_;
     time_point message_since_{}; ///< its first byte
     time_point heard_{};         ///< last bytes of a request
     time_point written_{};       ///< last progress of the output
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -92,9 +92,14 @@
 void caller_connection::on_written(bufferevent*, void* self)
 {
     auto& connection = connection_of(self);
-    if (connection.closing_ && connection.slots_.empty())
-        connection.guard("close connection",
-                         [&] { connection.close_gracefully(); });
+    if (!connection.slots_.empty())
+        return;
+    connection.guard("close connection", [&] {
+        if (!connection.end_.takes_requests())
+            connection.close_gracefully();
+        else
+            connection.close_between_requests();
+    });
 }
 
 void caller_connection::on_event(bufferevent*, short what, void* self)
@@ -110,8 +115,8 @@
         return;
     reading_ = true;
     evbuffer* input = bufferevent_get_input(stream_.get());
-    while (!ended_ && evbuffer_get_length(input) > 0) {
-        if (closing_) {
+    while (!end_.has_ended() && evbuffer_get_length(input) > 0) {
+        if (!end_.takes_requests()) {
             evbuffer_drain(input, evbuffer_get_length(input));
             break;
         }
@@ -160,7 +165,7 @@
 void caller_connection::tell_to_go_on()
 {
     constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
-    if (!wants_go_on_ || !slots_.empty() || closing_)
+    if (!wants_go_on_ || !slots_.empty() || !end_.takes_requests())
         return;
     wants_go_on_ = false;
     bufferevent_write(stream_.get(), go_on.data(), go_on.size());
@@ -183,7 +188,9 @@
     slots_.push_back(std::move(incoming_));
     auto& slot = *slots_.back();
     if (!slot.keep_alive)
-        closing_ = true;
+        end_.take_no_more();
+    if (end_.on_request_taken(host_.phase, load()))
+        set_last();
     ++host_.in_flight;
     auto exchange = std::make_unique<caller_exchange>(slot);
     slot.owner = exchange.get();
@@ -196,7 +203,7 @@
 // Answers of earlier requests still go out; what follows is not read.
 void caller_connection::refuse(int status, std::string_view reason)
 {
-    closing_ = true;
+    end_.take_no_more();
     auto slot = std::make_unique<caller_slot>();
     const std::string body = std::string(reason) + '\n';
     slot->held = format_answer_head(
@@ -209,15 +216,25 @@
     flush();
 }
 
-// A request that was read behind the last answer would be worked on and then
-// cut: the answer may wait for its turn, or be streamed for long.
-bool caller_connection::ends_with(caller_slot& slot)
+connection_load caller_connection::load() const
+{
+    const bool newest_begun = !slots_.empty() && slots_.back()->begun;
+    return {slots_.size(), newest_begun, reader_.in_message()};
+}
+
+void caller_connection::set_last()
 {
-    const bool last = !slots_.empty() && slots_.back().get() == &slot;
-    if (host_.closing && last && !reader_.in_message())
-        slot.keep_alive = false;
+    slots_.back()->keep_alive = false;
+}
+
+bool caller_connection::begin_answer(caller_slot& slot)
+{
+    if (end_.on_answer_begins(host_.phase, load()))
+        set_last();
+    slot.begun = true;
+    // An answer without a length ends with its connection.
     if (!slot.keep_alive)
-        closing_ = true;
+        end_.take_no_more();
     return !slot.keep_alive;
 }
 
@@ -259,15 +276,18 @@
         slots_.pop_front();
         --host_.in_flight;
         if (last) {
-            closing_ = true;
+            end_.take_no_more();
             drop_slots();
         }
     }
     note_idle();
-    if (closing_) {
+    if (!end_.takes_requests()) {
         close_gracefully();
         return;
     }
+    close_between_requests();
+    if (!end_.takes_requests())
+        return;
     tell_to_go_on();
     // Requests may have waited for room in the pipeline.
     if (!reading_ &&
@@ -285,22 +305,36 @@
 
 void caller_connection::close_gracefully()
 {
-    closing_ = true;
-    if (wrote_close_ || ended_)
+    end_.take_no_more();
+    if (end_.is_shut_down() || end_.has_ended())
         return;
     if (pending_output() > 0)
         return; // called again once it is written
-    wrote_close_ = true;
+    end_.shut_down();
     closing_since_ = host_.loop->now();
     ::shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
 }
 
+// The last answer had begun before the server closed, and could not say that it
+// is the last. A request that crosses this is not read, so that its caller may
+// send it again whatever its kind.
+void caller_connection::close_between_requests()
+{
+    if (host_.phase != server_phase::closing)
+        return;
+    const bool idle = slots_.empty() && !reader_.in_message() && !has_unread();
+    if (!idle || pending_output() > 0)
+        return;
+    bufferevent_disable(stream_.get(), EV_READ);
+    close_gracefully();
+}
+
 // Requests behind it cannot be answered here, and are not worked on further.
 void caller_connection::break_off(caller_slot& slot)
 {
     slot.broken = true;
     slot.held.clear();
-    closing_ = true;
+    end_.take_no_more();
     const auto found = std::ranges::find(
         slots_, &slot, [](const auto& each) { return each.get(); });
     drop_slots(static_cast<std::size_t>(found - slots_.begin()) + 1);
@@ -309,7 +343,7 @@
 
 void caller_connection::break_off()
 {
-    if (!ended_)
+    if (!end_.has_ended())
         end();
 }
 
@@ -327,9 +361,8 @@
 
 void caller_connection::end()
 {
-    if (ended_)
+    if (!end_.end())
         return;
-    ended_ = true;
     bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
     drop_slots();
     host_.ended(*this);
@@ -374,13 +407,21 @@
 // read, and its caller may send it again whatever its kind.
 void caller_connection::close_if_idle()
 {
-    if (slots_.empty() && !reader_.in_message() && !closing_ && !has_unread())
+    const bool idle = slots_.empty() && !reader_.in_message() && !has_unread();
+    if (idle && end_.takes_requests())
         end();
 }
 
+void caller_connection::on_server_closing()
+{
+    if (end_.on_server_closing(load()))
+        set_last();
+    close_if_idle();
+}
+
 void caller_connection::check_time(time_point now)
 {
-    if (wrote_close_) {
+    if (end_.is_shut_down()) {
         if (now - closing_since_ > linger)
             end();
         return;
@@ -400,7 +441,7 @@
 // Once only: answers to earlier requests may still be due.
 void caller_connection::check_reading(time_point now)
 {
-    if (closing_ || !reader_.in_message())
+    if (!end_.takes_requests() || !reader_.in_message())
         return;
     const auto taken = now - message_since_;
     if (!headers_read_ && taken > host_.limits.header_timeout)
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -120,7 +120,7 @@
     }
     start_body(status, length);
     auto& connection = *slot_->connection;
-    const bool close = connection.ends_with(*slot_);
+    const bool close = connection.begin_answer(*slot_);
     const auto framing = slot_->has_body ? framing_line(*slot_) : "";
     connection.send(
         *slot_, detail::format_answer_head(status, headers, framing, close));
@@ -280,16 +280,19 @@
 
 void caller_server::announce_close(bool announced)
 {
-    state_->host.closing = announced;
+    using detail::server_phase;
+    auto& phase = state_->host.phase;
+    if (phase != server_phase::closing)
+        phase = announced ? server_phase::leaving : server_phase::serving;
 }
 
 void caller_server::stop_accepting()
 {
-    state_->host.closing = true;
+    state_->host.phase = detail::server_phase::closing;
     state_->listener.reset();
     for (std::size_t i = state_->connections.size(); i-- > 0;)
         if (i < state_->connections.size())
-            state_->connections[i]->close_if_idle();
+            state_->connections[i]->on_server_closing();
 }
 
 std::size_t caller_server::in_flight() const
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -53,6 +53,15 @@
     return stream.received.find(text);
 }
 
+std::size_t count(const raw_stream& stream, std::string_view text)
+{
+    std::size_t found = 0;
+    auto at = position(stream, text);
+    for (; at != std::string::npos; ++found)
+        at = stream.received.find(text, at + text.size());
+    return found;
+}
+
 // evhttp would begin the second request only after the first was answered.
 TEST(CallerServer, PipelinedRequestsAreWorkedOnTogetherAndAnsweredInOrder)
 {
@@ -242,6 +251,113 @@
     EXPECT_FALSE(connect_raw(s.loop, s.where));
 }
 
+// A request was always behind the one that was answered: the connection was
+// never told to close, and was cut when the router ended.
+TEST(CallerServer, APipelineWithoutAPauseIsToldToCloseWhenTheServerLeaves)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /0 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.server.announce_close();
+    std::size_t answered = 0;
+    timer pipeline(s.loop, [&] {
+        caller->send("GET /n HTTP/1.1\r\nHost: a\r\n\r\n");
+        if (answered + 1 < s.held.size())
+            s.held[answered++]->reply(200, {}, "whole");
+    });
+    pipeline.start_every(5ms);
+    run_for(s.loop, 200ms);
+    for (; answered < s.held.size(); ++answered)
+        s.held[answered]->reply(200, {}, "whole");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_EQ(count(*caller, "whole"), s.requests.size());
+    EXPECT_LE(s.requests.size(), 4u);
+    EXPECT_EQ(count(*caller, "Connection: close"), 1u);
+    const auto said = position(*caller, "Connection: close");
+    EXPECT_EQ(caller->received.find("HTTP/1.1", said), std::string::npos);
+}
+
+// The same where no answer begins before the server closes.
+TEST(CallerServer, APipelineOfSlowRequestsTakesNoMoreOnceTheServerCloses)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(2);
+    s.server.announce_close();
+    s.server.stop_accepting();
+    caller->send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(s.loop, 50ms);
+    ASSERT_EQ(s.requests.size(), 2u);
+    s.held[0]->reply(200, {}, "first");
+    s.held[1]->reply(200, {}, "second");
+    run_until(s.loop, [&] { return caller->closed; });
+    const auto said = position(*caller, "Connection: close");
+    EXPECT_GT(said, position(*caller, "first"));
+    EXPECT_LT(said, position(*caller, "second"));
+}
+
+// Such an answer says nothing of the end, and its connection stayed open: what
+// was sent on it later was cut.
+TEST(CallerServer, AStreamThatBeganBeforeTheServerLeavesIsTheLastOne)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.held[0]->begin(200, {}, std::nullopt);
+    s.held[0]->write("stream");
+    s.await_text(*caller, "stream");
+    s.server.announce_close();
+    s.server.stop_accepting();
+    run_for(s.loop, 20ms);
+    s.held[0]->finish();
+    run_for(s.loop, 500ms);
+    EXPECT_TRUE(caller->closed);
+    EXPECT_TRUE(caller->received.ends_with("0\r\n\r\n"));
+    EXPECT_EQ(s.requests.size(), 1u);
+}
+
+TEST(CallerServer, TheRequestBehindAStreamThatBeganBeforeIsTheLastOne)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.held[0]->begin(200, {}, std::nullopt);
+    s.server.announce_close();
+    s.server.stop_accepting();
+    caller->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(2);
+    s.held[1]->reply(200, {}, "second");
+    s.held[0]->finish();
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_EQ(s.requests.size(), 2u);
+    EXPECT_LT(position(*caller, "Connection: close"),
+              position(*caller, "second"));
+}
+
+// A router that reaches its targets again keeps its connections.
+TEST(CallerServer, ACloseThatIsTakenBackEndsNoPipeline)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.server.announce_close();
+    s.server.announce_close(false);
+    s.held[0]->reply(200, {}, "first");
+    caller->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(2);
+    s.server.announce_close();
+    s.held[1]->reply(200, {}, "second");
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_GT(position(*caller, "Connection: close"),
+              position(*caller, "first"));
+}
+
 TEST(CallerServer, NothingIsReadBehindARequestThatAsksToClose)
 {
     served s;
