Refuse what is read too late in a planned stop, and answer the rest in time

Cause: the end of the process was known to router_server alone; requests were placed by their own deadline. Ruled out: that only idle connections that should have been closed bring them (a half read request is answered by right).

Change: `shutdown_plan`, apart from sockets, holds the times of a stop and decides what is still passed on: after the end of accepting only what has its final answer before the exit for certain, or, where no peer is ready, what is repeatable and probably has. Others get 503 at once, which is true.

Conclusion: late requests are refused by what is known, not cut by the clock.

--- a/apps/router/requests/request_context.hpp
+++ b/apps/router/requests/request_context.hpp
@@ -11,6 +11,9 @@
 #include "targets/prober.hpp"
 #include "targets/target_connections.hpp"
 #include "targets/target_signal_recorder.hpp"
+#include "vanillapost/attempts.hpp"
+
+#include <optional>
 
 namespace vanillapost::router {
 
@@ -35,6 +38,8 @@
     std::function<void(const service_id&)> slot_freed;
     /// Returns how many requests of the service wait for a slot.
     std::function<int(const service_id&)> waiting;
+    /// Set once this instance has been told to stop.
+    std::optional<shutdown_plan> shutdown;
 };
 
 } // namespace vanillapost::router
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -34,7 +34,8 @@
                random_,
                [this](request_task& task) { on_ended(task); },
                [this](const service_id& service) { on_slot_freed(service); },
-               [this](const service_id& service) { return waiting(service); }}
+               [this](const service_id& service) { return waiting(service); },
+               std::nullopt}
 {
 }
 
@@ -55,9 +56,9 @@
     request.message = std::move(message);
     request.arrived = loop_.now();
     cluster_.on_request(request.arrived);
-    const auto refused =
-        run_filters(request, {cluster_, adapter_, generate_request_id_,
-                              has_newest_configuration_});
+    const auto refused = run_filters(
+        request, {cluster_, adapter_, generate_request_id_,
+                  has_newest_configuration_, statistics_, context_.shutdown});
     if (refused) {
         refuse(*exchange, *refused, request);
         return;
@@ -68,6 +69,13 @@
         begin(std::move(exchange), std::move(request), 0);
 }
 
+void request_engine::leave(const shutdown_plan& plan)
+{
+    context_.shutdown = plan;
+    for (const auto& [number, task] : tasks_)
+        task->limit_deadline(plan.answers_until());
+}
+
 void request_engine::begin(std::unique_ptr<io::caller_exchange> exchange,
                            incoming_request request, std::uint64_t claim)
 {
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -28,6 +28,11 @@
     void handle(std::unique_ptr<io::caller_exchange> exchange,
                 io::http_request message);
 
+    /// To be called when this instance is told to stop: what it cannot answer
+    /// in time is refused, and every request gets its final answer by the
+    /// plan's end.
+    void leave(const shutdown_plan& plan);
+
     /// \param handler  called when this instance turns out to be partitioned
     /// from
     ///                 all targets, or no longer
--- a/apps/router/requests/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -1,5 +1,6 @@
 #include "requests/request_filters.hpp"
 
+#include "requests/request_limits.hpp"
 #include "targets/target_message.hpp"
 #include "vanillapost/base.hpp"
 #include "vanillapost/idempotency.hpp"
@@ -128,12 +129,33 @@
     return std::nullopt;
 }
 
+std::optional<problem>
+shutdown_filter::operator()(incoming_request& request,
+                            const filter_context& context) const
+{
+    if (!context.shutdown)
+        return std::nullopt;
+    const auto& rule = request.rule;
+    const auto limit = request.time_left.value_or(default_deadline);
+    const auto& members = context.cluster.members;
+    late_request late;
+    late.time_limit = within_timeout(rule, limit);
+    late.expected_work = context.statistics.expected_work(rule);
+    late.repeatable = may_repeat(rule.kind);
+    late.has_peers = !members.ready_peers(request.arrived).empty();
+    if (context.shutdown->admits(request.arrived, late))
+        return std::nullopt;
+    return refusal(status_unavailable, "shutdown",
+                   "this instance stops before it could answer");
+}
+
 std::optional<problem> run_filters(incoming_request& request,
                                    const filter_context& context)
 {
-    static const std::array<request_filter, 6> filters = {
-        id_filter{},    relay_filter{},    configured_filter{},
-        route_filter{}, deadline_filter{}, idempotency_key_filter{}};
+    static const std::array<request_filter, 7> filters = {
+        id_filter{},      relay_filter{},    configured_filter{},
+        route_filter{},   deadline_filter{}, idempotency_key_filter{},
+        shutdown_filter{}};
     for (const auto& filter : filters) {
         auto refused = std::visit(
             [&](const auto& each) { return each(request, context); }, filter);
--- a/apps/router/requests/request_filters.hpp
+++ b/apps/router/requests/request_filters.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_FILTERS_HPP
 
 #include "requests/problem.hpp"
+#include "requests/route_statistics.hpp"
 #include "state/cluster_view.hpp"
 
 #include <functional>
@@ -31,6 +32,8 @@
     const std::function<std::string()>& generate_request_id;
     /// Returns whether no newer configuration can be in force.
     const std::function<bool()>& has_newest_configuration;
+    const route_statistics& statistics;
+    const std::optional<shutdown_plan>& shutdown;
 };
 
 /// Generates a request id if the caller sent none.
@@ -78,9 +81,16 @@
                                       const filter_context& context) const;
 };
 
+/// Refuses what this instance cannot answer before it stops.
+struct shutdown_filter
+{
+    std::optional<problem> operator()(incoming_request& request,
+                                      const filter_context& context) const;
+};
+
 using request_filter =
     std::variant<id_filter, relay_filter, configured_filter, route_filter,
-                 deadline_filter, idempotency_key_filter>;
+                 deadline_filter, idempotency_key_filter, shutdown_filter>;
 
 /// Applies the filters in order, up to the first that refuses the request.
 /// \return the refusal; nothing when the request passes
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -46,6 +46,8 @@
       })
 {
     set_deadlines(request.time_left);
+    if (context.shutdown)
+        deadline_ = std::min(deadline_, context.shutdown->answers_until());
 }
 
 request_task::~request_task() = default;
@@ -57,6 +59,14 @@
     guard("place request", [this] { place(); });
 }
 
+void request_task::limit_deadline(time_point latest)
+{
+    if (state_ == stage::ended || latest >= deadline_)
+        return;
+    deadline_ = latest;
+    arm_timer();
+}
+
 void request_task::set_deadlines(std::optional<duration> time_left)
 {
     auto limit = time_left.value_or(default_deadline);
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -23,6 +23,9 @@
 
     void start();
 
+    /// Brings the final answer forward to `latest`, if it is due later.
+    void limit_deadline(time_point latest);
+
     /// To be called when a probe that the task has requested has ended.
     void on_probe_done(const target_id& target);
 
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -7,12 +7,6 @@
 using namespace std::chrono_literals;
 
 constexpr duration check_interval = 100ms;
-/// Callers go on using this router's address for a while after they were asked
-/// not to: connections are accepted for this fraction of the grace period.
-constexpr double accepting_fraction = 0.42;
-/// The process exits this long before the end of the grace period, when it
-/// would be killed.
-constexpr duration exit_margin = 400ms;
 
 member describe_self(const router_settings& settings, std::uint64_t seed)
 {
@@ -73,7 +67,7 @@
 {
     engine_.on_reach_changed([this](bool cut_off) {
         // Callers then ask for an address again, and get that of a peer.
-        if (!leaving_since_)
+        if (!shutdown_)
             callers_.announce_close(cut_off);
         peers_.on_reach_changed();
     });
@@ -163,21 +157,23 @@
 
 void router_server::leave()
 {
-    if (leaving_since_)
+    if (shutdown_)
         return;
-    leaving_since_ = loop_.now();
+    const auto now = loop_.now();
+    shutdown_.emplace(now, settings_.grace_period);
     log_.state(io::log_level::info, "leaving",
                {{"in_flight", std::to_string(engine_.in_flight())}});
     directory_.set_ready(false);
     callers_.announce_close(true);
-    cluster_.leave(*leaving_since_);
+    engine_.leave(*shutdown_);
+    cluster_.leave(now);
     peers_.leave();
 }
 
 void router_server::check()
 {
     const auto now = loop_.now();
-    if (leaving_since_) {
+    if (shutdown_) {
         check_leaving(now);
         return;
     }
@@ -209,16 +205,12 @@
 
 void router_server::check_leaving(time_point now)
 {
-    const auto since = now - *leaving_since_;
-    const auto accepting = std::chrono::duration_cast<duration>(
-        settings_.grace_period * accepting_fraction);
-    if (!accepting_stopped_ && since >= accepting) {
+    if (!accepting_stopped_ && now >= shutdown_->accepts_until()) {
         accepting_stopped_ = true;
         callers_.stop_accepting();
     }
     const bool idle = accepting_stopped_ && callers_.connections() == 0;
-    const bool out_of_time = since >= settings_.grace_period - exit_margin;
-    if (!idle && !out_of_time)
+    if (!idle && now < shutdown_->exits_at())
         return;
     log_.state(io::log_level::info, "stopped",
                {{"in_flight", std::to_string(engine_.in_flight())}});
--- a/apps/router/router_server.hpp
+++ b/apps/router/router_server.hpp
@@ -59,7 +59,7 @@
     io::timer check_timer_;
     bool ready_ = false;
     bool accepting_stopped_ = false; ///< no connections are accepted any more
-    std::optional<time_point> leaving_since_;
+    std::optional<shutdown_plan> shutdown_; ///< set once it is to stop
     caller_limits limits_;
 };
 
--- a/include/vanillapost/attempts.hpp
+++ b/include/vanillapost/attempts.hpp
@@ -10,5 +10,6 @@
 #include "src/attempts/retry_after_estimate.hpp"
 #include "src/attempts/retry_budget.hpp"
 #include "src/attempts/run_state.hpp"
+#include "src/attempts/shutdown_plan.hpp"
 
 #endif
--- a/test/platform/test_shutdown.py
+++ b/test/platform/test_shutdown.py
@@ -9,8 +9,11 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 
+import wire  # noqa: E402
+from caller import DEADLINE  # noqa: E402
 from fleet import LOOKUP, ORDER, Fleet, Route  # noqa: E402
 from pipeline import Pipeline, cut_by_stop  # noqa: E402
+from target import ID  # noqa: E402
 
 GRACE_S = 6.0
 # As at the users' second deployment: lookups time out early.
@@ -93,3 +96,60 @@
             assert all(len(each.asked) > 5 for each in pipelines)
 
     asyncio.run(scenario())
+
+
+async def send_in_two_parts(router, route, attempt_id, head_at, body_at):
+    """A request whose body comes late; returns its answer, or nothing."""
+    ip, _, port = router.front.rpartition(":")
+    await asyncio.sleep(max(head_at - time.monotonic(), 0))
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    body = b"x" * 40
+    text = wire.format_message(
+        f"POST {route.prefix}1 HTTP/1.1",
+        [("Host", route.host), (ID, attempt_id), (DEADLINE, 4000)], body)
+    writer.write(text[:-20])
+    await asyncio.sleep(max(body_at - time.monotonic(), 0))
+    writer.write(text[-20:])
+    try:
+        return await asyncio.wait_for(
+            wire.read_message(reader, answer=True), GRACE_S)
+    except (wire.Broken, OSError, asyncio.TimeoutError):
+        return None
+    finally:
+        writer.close()
+
+
+# Bookings that were read late in the grace period were passed on, and cut with
+# no answer as the process ended.
+def test_a_booking_that_is_read_late_in_a_stop_is_refused_and_not_run():
+    async def scenario():
+        async with Fleet() as fleet:
+            for target in fleet.targets_of("ledger"):
+                target.work_s = 2.0
+            order = replace(ORDER, timeout_ms=4000)
+            fleet.routes = [LOOKUP, order]
+            await fleet.write_config()
+            await fleet.wait_ready()
+            router = fleet.routers[0]
+            router.ours = True
+            stopped = time.monotonic() + 0.5
+            late = [asyncio.create_task(send_in_two_parts(
+                router, order, f"late-{number}", stopped - 0.2, stopped + at))
+                for number, at in enumerate((3.6, 4.4, 5.0, 5.4))]
+            for number in range(len(late)):
+                asked = fleet.truth.ask(f"late-{number}", "ledger", False)
+                asked.route = order.name
+            await asyncio.sleep(max(stopped - time.monotonic(), 0))
+            router.signal(signal.SIGTERM)
+            answers = await asyncio.gather(*late)
+            assert await router.wait_end(GRACE_S + 2) == 0
+            # The first could be answered in time; the others could not.
+            assert answers[0] and answers[0].status in (200, 503)
+            assert [answer and answer.status for answer in answers[1:]] == \
+                [503] * (len(late) - 1)
+            for number, answer in enumerate(answers):
+                assert answer.header("Connection") == "close"
+                ran = fleet.truth.runs[f"late-{number}"]
+                assert bool(ran) == (answer.status == 200)
+
+    asyncio.run(scenario())
