Play bytes without end in probes, relayed answers and unread bodies

Reported by another operator: a faulty target's bytes without end filled the memory of an instance and ended the requests of others (LOST).

Direct answers were played before; answers to probes, answers that a peer passes on, and whole bodies whose callers read nothing were not.

Change: three tests with real routers for these; no product code.

The store as the sender was not played.

--- a/test/platform/test_endless.py
+++ b/test/platform/test_endless.py
@@ -115,3 +115,131 @@
             assert fleet.truth.violations == []
 
     asyncio.run(scenario())
+
+
+def answer_probes_without_end(target, form):
+    """What its health check answers from now on."""
+    begin, again = FORMS[form]
+    target.sending = 0
+    target.begun = 0
+
+    async def send(writer):
+        writer.write(begin.replace("{0}", "x").encode("latin-1"))
+        target.sending += 1
+        target.begun += 1
+        try:
+            while not writer.is_closing():
+                writer.write(again.encode("latin-1") * 4000)
+                await writer.drain()
+                await asyncio.sleep(0.001)
+        except ConnectionError:
+            pass
+        finally:
+            target.sending -= 1
+
+    tasks = set()
+
+    def answer(writer):
+        task = asyncio.create_task(send(writer))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    target._answer_health = answer
+
+
+# Only answers to requests were played; a router probes far more often.
+def test_probes_that_are_answered_without_end():
+    async def scenario():
+        async with Fleet(routers=1) as fleet:
+            await fleet.wait_ready()
+            router = fleet.routers[0]
+            bad = fleet.targets_of("stock")[1:]
+            for form in FORMS:
+                for target in bad:
+                    answer_probes_without_end(target, form)
+                began = time.monotonic()
+                await fleet.load(1.5, routes=[LOOKUP])
+                assert resident_mib(router) < MAX_MEMORY_MIB, form
+                assert fleet.truth.served(began) > 0.9, form
+                for target in bad:
+                    vars(target).pop("_answer_health")
+                await asyncio.sleep(LATE_S)
+                assert [t.id for t in bad if t.sending] == [], form
+                assert any(target.begun for target in bad), form
+            assert fleet.truth.violations == []
+
+    asyncio.run(scenario())
+
+
+# An answer that a peer passes on is bounded at both routers.
+def test_relayed_answers_that_come_without_end():
+    async def scenario():
+        async with Fleet(proxied=True, targets_per_zone=1) as fleet:
+            await fleet.wait_ready()
+            cut_off = fleet.routers[0]
+            with fleet.partitioned(cut_off, resets=True):
+                await fleet.load(4, routes=[LOOKUP])
+                for form in FORMS:
+                    for target in fleet.targets:
+                        await send_without_end(target, form, slowly=False)
+                    asked = await fleet.caller(
+                        f"relayed-{form}".replace(" ", "-"),
+                        only=cut_off).request(LOOKUP, deadline_s=3)
+                    taken = asked.ended - asked.at
+                    assert asked.status in (502, 503, 504), (form, asked)
+                    assert taken < LOOKUP.timeout_ms / 1000 + LATE_S, form
+                    for router in fleet.routers:
+                        assert resident_mib(router) < MAX_MEMORY_MIB, form
+                    await asyncio.sleep(0.2)
+                assert "peer router-" in cut_off.log.read_text()
+            await asyncio.sleep(LATE_S)
+            for target in fleet.targets:
+                assert target.sending == 0, target.id
+
+    asyncio.run(scenario())
+
+
+async def ask_and_read_nothing(router, number):
+    """A caller whose request is answered, and that takes no byte of it."""
+    ip, _, port = router.front.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port), limit=1024)
+    writer.transport.pause_reading()
+    writer.write(wire.format_message(
+        f"GET {LOOKUP.prefix}{number} HTTP/1.1",
+        [("Host", LOOKUP.host), (ID, f"unread-{number}"),
+         ("X-Vanillapost-Deadline-Ms", 3000)], length=False))
+    return reader, writer
+
+
+# A whole body without end is passed on as it comes: what its caller does not
+# take stays at the target.
+def test_bodies_without_end_that_nobody_reads_are_bounded_in_sum():
+    async def scenario():
+        async with Fleet(routers=1, targets_per_zone=4) as fleet:
+            await fleet.wait_ready()
+            router = fleet.routers[0]
+            FORMS["sealed body"] = (CHUNKED, "3e8\r\n" + "x" * 1000 + "\r\n")
+            for target in fleet.targets_of("stock"):
+                target.slots = 6
+                await send_without_end(target, "sealed body", slowly=False)
+            del FORMS["sealed body"]
+            for number in range(40):
+                fleet.truth.ask(f"unread-{number}", "stock", True)
+            links = [await ask_and_read_nothing(router, number)
+                     for number in range(40)]
+            targets = fleet.targets_of("stock")
+            peak = at_once = 0
+            until = time.monotonic() + 2.5
+            while time.monotonic() < until:
+                peak = max(peak, resident_mib(router))
+                at_once = max(at_once, sum(t.sending for t in targets))
+                await asyncio.sleep(0.05)
+            for _, writer in links:
+                writer.close()
+            assert at_once >= 10
+            assert peak < MAX_MEMORY_MIB, peak
+            await asyncio.sleep(LATE_S)
+            for target in fleet.targets_of("stock"):
+                assert target.sending == 0, target.id
+
+    asyncio.run(scenario())
