Keep a connection until its last answer is written

Cause: a connection counted as idle once its answer was in the output buffer. Ruled out: the limit on stalled callers (these went on reading), the exit of the process (it ended because no connection was left).

Change: unwritten output is no idle connection, and idle time begins when the last byte is written.

Before: two new tests of caller_server fail, with 2,572,288 of 8,388,608 bytes received. After: caller_server 34 of 34.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -101,6 +101,7 @@
     void flush();
     void drop_slots(std::size_t kept = 0);
     bool has_unread() const;
+    bool is_idle() const;
     std::size_t pending_output() const;
     void reset();
     void check_reading(time_point now);
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -94,6 +94,7 @@
     auto& connection = connection_of(self);
     if (!connection.slots_.empty())
         return;
+    connection.note_idle();
     connection.guard("close connection", [&] {
         if (!connection.end_.takes_requests())
             connection.close_gracefully();
@@ -322,8 +323,7 @@
 {
     if (host_.phase != server_phase::closing)
         return;
-    const bool idle = slots_.empty() && !reader_.in_message() && !has_unread();
-    if (!idle || pending_output() > 0)
+    if (!is_idle())
         return;
     bufferevent_disable(stream_.get(), EV_READ);
     close_gracefully();
@@ -403,12 +403,18 @@
     return waiting > 0 || evbuffer_get_length(input) > 0;
 }
 
+// An answer that its caller is still reading is no idle time either.
+bool caller_connection::is_idle() const
+{
+    return slots_.empty() && !reader_.in_message() && pending_output() == 0 &&
+           !has_unread();
+}
+
 // At once, without reading on: a request that crosses the close was then never
 // read, and its caller may send it again whatever its kind.
 void caller_connection::close_if_idle()
 {
-    const bool idle = slots_.empty() && !reader_.in_message() && !has_unread();
-    if (idle && end_.takes_requests())
+    if (is_idle() && end_.takes_requests())
         end();
 }
 
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -386,6 +386,71 @@
     }
 }
 
+/// A caller with a small window that reads nothing until it is told to.
+int connect_slowly(const address& where)
+{
+    auto target = detail::to_socket_address(where);
+    const auto socket = ::socket(target.get()->sa_family, SOCK_STREAM, 0);
+    const int window = 16 * 1024;
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    EXPECT_EQ(::connect(socket, target.get(), target.length), 0);
+    const std::string_view request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    EXPECT_GT(::send(socket, request.data(), request.size(), 0), 0);
+    return socket;
+}
+
+/// Reads a piece at a time until the end; returns how many bytes came.
+std::size_t read_to_the_end(event_loop& loop, int socket)
+{
+    evutil_make_socket_nonblocking(socket);
+    std::size_t total = 0;
+    bool ended = false;
+    std::string piece(256 * 1024, ' ');
+    timer read(loop, [&] {
+        const auto got = ::recv(socket, piece.data(), piece.size(), 0);
+        if (got > 0)
+            total += static_cast<std::size_t>(got);
+        ended = got == 0 || (got < 0 && errno != EAGAIN);
+        if (ended)
+            loop.stop();
+    });
+    read.start_every(1ms);
+    run_until(loop, [&] { return ended; });
+    return total;
+}
+
+constexpr std::size_t large_answer = 8 * 1024 * 1024; // beyond all buffers
+
+// It counted as idle once its answer was in the buffer; the rest was dropped.
+TEST(CallerServer, AHalfWrittenAnswerSurvivesTheEndOfAccepting)
+{
+    served s;
+    const auto socket = connect_slowly(s.where);
+    s.await(1);
+    s.held[0]->reply(200, {}, std::string(large_answer, 'x'));
+    run_for(s.loop, 50ms);
+    s.server.announce_close();
+    s.server.stop_accepting();
+    run_for(s.loop, 50ms);
+    EXPECT_EQ(s.server.connections(), 1u);
+    EXPECT_GT(read_to_the_end(s.loop, socket), large_answer);
+    ::close(socket);
+}
+
+TEST(CallerServer, AHalfWrittenAnswerIsNoIdleConnection)
+{
+    caller_server_limits limits;
+    limits.idle_timeout = 100ms;
+    served s(limits);
+    const auto socket = connect_slowly(s.where);
+    s.await(1);
+    s.held[0]->reply(200, {}, std::string(large_answer, 'x'));
+    run_for(s.loop, 1300ms);
+    EXPECT_EQ(s.server.connections(), 1u);
+    EXPECT_GT(read_to_the_end(s.loop, socket), large_answer);
+    ::close(socket);
+}
+
 // Request 3 was passed on and then cut: the answer to 2, which was ready
 // before that to 1, had already said that it is the last.
 TEST(CallerServer, NothingIsReadOnceAnAnswerSaysThatItIsTheLast)
