Read again from a paused connection before its next call

Cause: a call paused its link in the read that held the end of its answer; the link went back into the pool with reading disabled, and the next answer on it was never read. Ruled out: an answer that was dropped as one of an earlier call (in the test the next call gets no byte).

Change: reading is enabled before a link goes back; `send` asserts it.

After: target_pool 22 of 22.

--- a/include/vanillapost/src/io/detail/target_link.hpp
+++ b/include/vanillapost/src/io/detail/target_link.hpp
@@ -89,6 +89,7 @@
     std::string failure_; ///< told on the next turn
     bool connected_ = false;
     bool busy_ = false;
+    bool paused_ = false;   ///< reading is disabled; never while in the pool
     bool skipping_ = false; ///< the message is not the answer to this call
     bool answered_ = false;
     std::size_t skipped_bytes_ = 0; ///< of messages before the answer
--- a/src/io/target_link.cpp
+++ b/src/io/target_link.cpp
@@ -4,6 +4,7 @@
 #include "vanillapost/src/io/detail/socket.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <utility>
@@ -88,6 +89,7 @@
 std::unique_ptr<target_call> target_link::send(target_call_request request,
                                                target_call_handlers handlers)
 {
+    assert(!paused_);
     busy_ = true;
     skipping_ = false;
     answered_ = false;
@@ -133,12 +135,14 @@
 
 void target_link::pause()
 {
+    paused_ = true;
     if (stream_)
         bufferevent_disable(stream_.get(), EV_READ);
 }
 
 void target_link::resume()
 {
+    paused_ = false;
     if (stream_)
         bufferevent_enable(stream_.get(), EV_READ);
 }
@@ -297,6 +301,9 @@
     if (call_)
         call_->link_ = nullptr;
     call_ = nullptr;
+    // The call may have paused it in the read that held the answer's end.
+    if (paused_)
+        resume();
     if (!keep_)
         end();
     else
--- a/test/target_pool.cpp
+++ b/test/target_pool.cpp
@@ -97,6 +97,26 @@
     EXPECT_EQ(p.pool.connections_made(), 1u);
 }
 
+// The rest of an answer that was paused came in the same read, and the link
+// went back into the pool without reading.
+TEST(TargetPool, AConnectionThatWasPausedIsReadForTheNextCall)
+{
+    pooled p;
+    noted first;
+    auto handlers = first.handlers();
+    handlers.on_data = [&](std::string_view) { first.call->pause(); };
+    first.call = p.pool.start({request_bytes, "1"}, std::move(handlers));
+    p.await_request().send(answer);
+    p.await(first);
+    noted second;
+    p.start(second);
+    p.await_request().send(answer);
+    run_for(p.loop, 100ms);
+    EXPECT_TRUE(second.done);
+    EXPECT_EQ(second.body, "ok");
+    EXPECT_EQ(p.target.streams.size(), 1u);
+}
+
 TEST(TargetPool, BytesBehindAnAnswerEndTheConnection)
 {
     pooled p;
