Hold back a request under which two targets have ended

Cause: nothing connects the ends of different targets. Each attempt was repeated at another target, and each caller's retry again. Ruled out as a remedy: fewer attempts alone (each of many callers still ends one target).

Change: `crash_suspects`, apart from sockets, counts the distinct targets that ended under a request (method, host, target, digest of the body; keyed hash, bounded). A broken connection counts once the target refuses connections too, so resets and lost answers accuse nobody; an answer clears. After two, such requests get 503 at once, "not run", until a hold of 5 s, which doubles, is over; then one is let through. Instances tell each other (`crash_relay`). A probe at once shows whether a target ended.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -60,6 +60,9 @@
           [this](const json& message) { send_to_peers("departure", message); }),
       limits_(loop, cluster, log,
               [this](const json& message) { send_to_peers("limit", message); }),
+      crashes_(
+          loop,
+          [this](const json& message) { send_to_peers("crash", message); }),
       monitor_(
           loop, cluster, metrics, log, random_engine(random_()),
           {[this](const member& to) { send_probe_to(to); },
@@ -331,6 +334,10 @@
     }
     if (rate_limit_relay::has_rate_limits(message))
         return;
+    if (crash_relay::is_report(message)) {
+        crashes_.handle(message, from.ip);
+        return;
+    }
     if (member_monitor::is_detector_message(message)) {
         monitor_.handle(message);
         return;
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_PEERS_PEER_CONTROLLER_HPP
 
 #include "peers/change_relay.hpp"
+#include "peers/crash_relay.hpp"
 #include "peers/departure_relay.hpp"
 #include "peers/member_monitor.hpp"
 #include "peers/peer_discovery.hpp"
@@ -56,6 +57,18 @@
         departures_.on_target_leaving(id, start_unix_ms);
     }
 
+    /// Tells peers of a target that ended under a request.
+    void on_crash(const crash_report& report)
+    {
+        crashes_.tell(report);
+    }
+
+    /// \param handler  called with what a peer has told
+    void on_peer_crash(crash_relay::handler handler)
+    {
+        crashes_.on_report(std::move(handler));
+    }
+
     /// A target told this instance something new about its rate limit.
     void on_rate_limit(const target_id& id, rate_limit_change change)
     {
@@ -101,6 +114,7 @@
     io::datagram_socket socket_;
     departure_relay departures_;
     rate_limit_relay limits_;
+    crash_relay crashes_;
     member_monitor monitor_;
     change_relay changes_;
     state_request state_request_;
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -71,6 +71,9 @@
                         "Answers in which targets named a rate limit")),
       bad_answers_(make_counters(registry_, "vanillapost_bad_answers_total",
                                  "What targets sent and is no answer")),
+      crash_reports_(make_counters(
+          registry_, "vanillapost_crash_reports_total",
+          "Requests under which a target ended, by what becomes of them")),
       unrouted_(make_counters(registry_, "vanillapost_unrouted_requests_total",
                               "Requests for which no route is known")
                     .Add({})),
@@ -179,6 +182,12 @@
     rate_limits_.Add({{"result", std::string(result)}}).Increment();
 }
 
+void router_metrics::count_crash_report(bool held)
+{
+    crash_reports_.Add({{"request", held ? "held_back" : "allowed"}})
+        .Increment();
+}
+
 void router_metrics::count_bad_answer(io::answer_fault fault)
 {
     const auto* kind =
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -46,6 +46,9 @@
     void count_rate_limit(std::string_view result);
     /// Counts what a target sent instead of a valid answer.
     void count_bad_answer(io::answer_fault fault);
+    /// Counts news of a target that ended under a request.
+    /// \param held  whether that request is held back now
+    void count_crash_report(bool held);
     void count_unrouted();
     /// Counts a callback of the event loop that has thrown.
     void count_callback_failure();
@@ -109,6 +112,7 @@
     prometheus::Family<prometheus::Counter>& pauses_;
     prometheus::Family<prometheus::Counter>& rate_limits_;
     prometheus::Family<prometheus::Counter>& bad_answers_;
+    prometheus::Family<prometheus::Counter>& crash_reports_;
     prometheus::Counter& unrouted_;
     prometheus::Counter& callback_failures_;
     prometheus::Family<prometheus::Counter>& unreadable_rows_;
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -213,10 +213,23 @@
         failure.fault == io::answer_fault::none && from.head.status == 0;
     if (was_silent && !from.is_relay)
         context_.signals.record_silence(from.target);
-    if (!failure.sent)
+    if (failure.refused && !from.is_relay)
+        context_.connection_refused(from.target);
+    if (!failure.sent) {
         finish_attempt(from, attempt_not_sent{failure.reason});
-    else
-        finish_attempt(from, attempt_lost{failure.reason});
+        return;
+    }
+    if (was_silent && !from.is_relay)
+        suspect_crash(from.target);
+    finish_attempt(from, attempt_lost{failure.reason});
+}
+
+// A probe shows whether the target has ended with the connection.
+void request_task::suspect_crash(const target_id& target)
+{
+    context_.suspects.on_connection_lost(identity_of(request_), target.value,
+                                         context_.loop.now());
+    context_.probes.request_probe(target, number_);
 }
 
 void request_task::report_bad_answer(const attempt& from,
@@ -285,7 +298,10 @@
         fallback_ = std::move(ended);
     if (std::holds_alternative<step_wait>(step))
         return;
-    if (std::holds_alternative<step_retry>(step))
+    const bool held =
+        !context_.suspects.is_empty() &&
+        context_.suspects.is_held(identity_of(request_), context_.loop.now());
+    if (std::holds_alternative<step_retry>(step) && !held)
         repeat();
     else
         give_up(status_bad_gateway, vanillapost::describe(outcome));
@@ -345,6 +361,8 @@
         return;
     auto signal = health_signal::neutral;
     const auto* answer = std::get_if<attempt_answered>(&outcome);
+    if (answer && !ended.is_relay && !context_.suspects.is_empty())
+        context_.suspects.on_answered(identity_of(request_));
     if (answer)
         signal = answer->status < first_server_error ? health_signal::good
                                                      : health_signal::failed;
--- a/apps/router/requests/request_context.hpp
+++ b/apps/router/requests/request_context.hpp
@@ -38,6 +38,10 @@
     std::function<void(const service_id&)> slot_freed;
     /// Returns how many requests of the service wait for a slot.
     std::function<int(const service_id&)> waiting;
+    /// Requests under which targets have ended.
+    crash_suspects& suspects;
+    /// To be called when a target refuses connections.
+    std::function<void(const target_id&)> connection_refused;
     /// Set once this instance has been told to stop.
     std::optional<shutdown_plan> shutdown;
 };
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -15,27 +15,32 @@
       log_(log), has_newest_configuration_(std::move(has_newest_configuration)),
       random_(random), connections_(loop, cluster, adapter),
       signals_(loop, cluster, adapter, metrics, log, std::move(on_signals)),
-      probes_(loop, cluster, adapter, connections_, signals_, metrics, log,
-              [this](std::uint64_t waiter, const target_id& target) {
-                  on_probe_done(waiter, target);
-              }),
+      probes_(
+          loop, cluster, adapter, connections_, signals_, metrics, log,
+          [this](std::uint64_t waiter, const target_id& target) {
+              on_probe_done(waiter, target);
+          },
+          [this](const target_id& target) { on_connection_refused(target); }),
       reach_(loop, cluster, probes_, log, random_engine(random_())),
-      budgets_(settings.repeats, loop.now()),
-      context_{loop,
-               cluster,
-               adapter,
-               metrics,
-               log,
-               connections_,
-               signals_,
-               probes_,
-               budgets_,
-               statistics_,
-               random_,
-               [this](request_task& task) { on_ended(task); },
-               [this](const service_id& service) { on_slot_freed(service); },
-               [this](const service_id& service) { return waiting(service); },
-               std::nullopt}
+      budgets_(settings.repeats, loop.now()), suspects_(random_()),
+      context_{
+          loop,
+          cluster,
+          adapter,
+          metrics,
+          log,
+          connections_,
+          signals_,
+          probes_,
+          budgets_,
+          statistics_,
+          random_,
+          [this](request_task& task) { on_ended(task); },
+          [this](const service_id& service) { on_slot_freed(service); },
+          [this](const service_id& service) { return waiting(service); },
+          suspects_,
+          [this](const target_id& target) { on_connection_refused(target); },
+          std::nullopt}
 {
 }
 
@@ -56,9 +61,10 @@
     request.message = std::move(message);
     request.arrived = loop_.now();
     cluster_.on_request(request.arrived);
-    const auto refused = run_filters(
-        request, {cluster_, adapter_, generate_request_id_,
-                  has_newest_configuration_, statistics_, context_.shutdown});
+    const auto refused =
+        run_filters(request, {cluster_, adapter_, generate_request_id_,
+                              has_newest_configuration_, statistics_,
+                              context_.shutdown, suspects_});
     if (refused) {
         refuse(*exchange, *refused, request);
         return;
@@ -69,6 +75,37 @@
         begin(std::move(exchange), std::move(request), 0);
 }
 
+void request_engine::on_connection_refused(const target_id& target)
+{
+    for (const auto& report :
+         suspects_.on_connection_refused(target.value, loop_.now())) {
+        log_crash(report, cluster_.members.self().name.value);
+        if (on_crash_)
+            on_crash_(report);
+    }
+}
+
+void request_engine::on_peer_crash(const crash_report& report,
+                                   std::string_view peer)
+{
+    if (suspects_.on_peer_report(report, loop_.now()))
+        log_crash(report, peer);
+}
+
+void request_engine::log_crash(const crash_report& report,
+                               std::string_view seen_by)
+{
+    const bool held = suspects_.is_held(report.request, loop_.now());
+    metrics_.count_crash_report(held);
+    // One end accuses everything that was in flight there.
+    if (!held)
+        return;
+    log_.request(io::log_level::warning, "request_held_back",
+                 {{"request", report.request},
+                  {"target", report.target},
+                  {"seen_by", std::string(seen_by)}});
+}
+
 void request_engine::leave(const shutdown_plan& plan)
 {
     context_.shutdown = plan;
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -28,6 +28,15 @@
     void handle(std::unique_ptr<io::caller_exchange> exchange,
                 io::http_request message);
 
+    /// \param handler  called with each target that ended under a request
+    void on_crash(std::function<void(const crash_report&)> handler)
+    {
+        on_crash_ = std::move(handler);
+    }
+
+    /// A peer has seen a target end under a request.
+    void on_peer_crash(const crash_report& report, std::string_view peer);
+
     /// To be called when this instance is told to stop: what it cannot answer
     /// in time is refused, and every request gets its final answer by the
     /// plan's end.
@@ -61,6 +70,8 @@
     void on_probe_done(std::uint64_t waiter, const target_id& target);
     void on_slot_freed(const service_id& service);
     void on_ended(request_task& task);
+    void on_connection_refused(const target_id& target);
+    void log_crash(const crash_report& report, std::string_view seen_by);
 
     io::event_loop& loop_;
     cluster_view& cluster_;
@@ -75,6 +86,8 @@
     reach_monitor reach_;
     service_budgets budgets_;
     route_statistics statistics_;
+    crash_suspects suspects_;
+    std::function<void(const crash_report&)> on_crash_;
     request_context context_;
     /// Null if the platform has no table.
     idempotency_claims* claims_ = nullptr;
--- a/apps/router/requests/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -149,13 +149,32 @@
                    "this instance stops before it could answer");
 }
 
+std::string identity_of(const io::http_request& message)
+{
+    const auto host = io::find_header(message.headers, "Host").value_or("");
+    return request_identity(message.method, host, message.target, message.body);
+}
+
+std::optional<problem>
+crash_filter::operator()(incoming_request& request,
+                         const filter_context& context) const
+{
+    if (context.suspects.is_empty())
+        return std::nullopt;
+    const auto identity = identity_of(request.message);
+    if (context.suspects.admits(identity, request.arrived))
+        return std::nullopt;
+    return refusal(status_unavailable, "crash",
+                   "targets ended under this request");
+}
+
 std::optional<problem> run_filters(incoming_request& request,
                                    const filter_context& context)
 {
-    static const std::array<request_filter, 7> filters = {
-        id_filter{},      relay_filter{},    configured_filter{},
-        route_filter{},   deadline_filter{}, idempotency_key_filter{},
-        shutdown_filter{}};
+    static const std::array<request_filter, 8> filters = {
+        id_filter{},       relay_filter{},    configured_filter{},
+        route_filter{},    deadline_filter{}, idempotency_key_filter{},
+        shutdown_filter{}, crash_filter{}};
     for (const auto& filter : filters) {
         auto refused = std::visit(
             [&](const auto& each) { return each(request, context); }, filter);
--- a/apps/router/requests/request_filters.hpp
+++ b/apps/router/requests/request_filters.hpp
@@ -34,6 +34,7 @@
     const std::function<bool()>& has_newest_configuration;
     const route_statistics& statistics;
     const std::optional<shutdown_plan>& shutdown;
+    crash_suspects& suspects;
 };
 
 /// Generates a request id if the caller sent none.
@@ -88,9 +89,20 @@
                                       const filter_context& context) const;
 };
 
+/// Refuses requests like those under which targets have ended.
+struct crash_filter
+{
+    std::optional<problem> operator()(incoming_request& request,
+                                      const filter_context& context) const;
+};
+
 using request_filter =
     std::variant<id_filter, relay_filter, configured_filter, route_filter,
-                 deadline_filter, idempotency_key_filter, shutdown_filter>;
+                 deadline_filter, idempotency_key_filter, shutdown_filter,
+                 crash_filter>;
+
+/// Identity by which requests under which targets end are counted.
+std::string identity_of(const io::http_request& message);
 
 /// Applies the filters in order, up to the first that refuses the request.
 /// \return the refusal; nothing when the request passes
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -112,6 +112,7 @@
     void begin_streaming(attempt& from);
     void resume_streams();
     void process_end(attempt& from);
+    void suspect_crash(const target_id& target);
     void report_bad_answer(const attempt& from, io::answer_fault fault,
                            std::string_view reason);
     void process_failure(attempt& from, const io::target_failure& failure);
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -71,6 +71,12 @@
             callers_.announce_close(cut_off);
         peers_.on_reach_changed();
     });
+    engine_.on_crash(
+        [this](const crash_report& report) { peers_.on_crash(report); });
+    peers_.on_peer_crash(
+        [this](const crash_report& report, std::string_view peer) {
+            engine_.on_peer_crash(report, peer);
+        });
     loop.on_failure([this](const io::callback_failure& failure) {
         report_callback_failure(failure);
     });
--- a/apps/router/targets/prober.cpp
+++ b/apps/router/targets/prober.cpp
@@ -19,10 +19,10 @@
 prober::prober(io::event_loop& loop, cluster_view& cluster,
                const platform_adapter& adapter, target_connections& connections,
                target_signal_recorder& signals, router_metrics& metrics,
-               router_log& log, done_handler done)
+               router_log& log, done_handler done, refused_handler refused)
     : loop_(loop), cluster_(cluster), adapter_(adapter),
       connections_(connections), signals_(signals), metrics_(metrics),
-      log_(log), done_(std::move(done))
+      log_(log), done_(std::move(done)), refused_(std::move(refused))
 {
 }
 
@@ -81,6 +81,8 @@
             metrics_.count_bad_answer(failure.fault);
         else
             signals_.record_silence(id);
+        if (failure.refused)
+            refused_(id);
         fail(id, failure.reason);
     };
     try {
--- a/apps/router/targets/prober.hpp
+++ b/apps/router/targets/prober.hpp
@@ -24,11 +24,12 @@
 public:
     using done_handler =
         std::function<void(std::uint64_t waiter, const target_id&)>;
+    using refused_handler = std::function<void(const target_id&)>;
 
     prober(io::event_loop& loop, cluster_view& cluster,
            const platform_adapter& adapter, target_connections& connections,
            target_signal_recorder& signals, router_metrics& metrics,
-           router_log& log, done_handler done);
+           router_log& log, done_handler done, refused_handler refused);
 
     /// Probes a target and calls the handler with `waiter` when the probe has
     /// ended, never before this function returns. A target that leaves or has
@@ -63,6 +64,7 @@
     router_metrics& metrics_;
     router_log& log_;
     done_handler done_;
+    refused_handler refused_; ///< the target refuses connections
     std::map<target_id, probe> probes_;
 };
 
--- a/include/vanillapost/src/io/detail/target_link.hpp
+++ b/include/vanillapost/src/io/detail/target_link.hpp
@@ -88,6 +88,7 @@
     std::string id_;
     std::string failure_; ///< told on the next turn
     bool connected_ = false;
+    bool refused_ = false; ///< nothing listens at the address
     bool busy_ = false;
     bool paused_ = false;   ///< reading is disabled; never while in the pool
     bool skipping_ = false; ///< the message is not the answer to this call
--- a/include/vanillapost/src/io/target_pool.hpp
+++ b/include/vanillapost/src/io/target_pool.hpp
@@ -39,6 +39,7 @@
     bool sent = false; ///< a byte of the request may have reached the target
     std::string reason;
     answer_fault fault = answer_fault::none;
+    bool refused = false; ///< nothing listens at the target's address
 };
 
 /// Receives an answer piece by piece. `on_done` or `on_failure` comes last and
--- a/src/io/target_link.cpp
+++ b/src/io/target_link.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <utility>
@@ -278,6 +279,8 @@
         return;
     }
     if (!connected_) {
+        const int cause = EVUTIL_SOCKET_ERROR();
+        refused_ = cause == ECONNREFUSED || cause == ECONNRESET;
         fail("cannot connect: " + last_error_text());
         return;
     }
@@ -320,7 +323,7 @@
     call_ = nullptr;
     end();
     if (was_busy && handlers.on_failure)
-        handlers.on_failure({connected_, std::move(reason), fault});
+        handlers.on_failure({connected_, std::move(reason), fault, refused_});
 }
 
 void target_link::end()
--- /dev/null
+++ b/test/platform/test_crashes.py
@@ -0,0 +1,103 @@
+"""A request that ends every target that works on it."""
+
+import asyncio
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(__file__))
+
+import wire  # noqa: E402
+from caller import DEADLINE  # noqa: E402
+from fleet import LOOKUP, Fleet  # noqa: E402
+from target import ID  # noqa: E402
+
+GUILTY = LOOKUP.prefix + "guilty"
+DOWN_S = 2.0  # until the platform starts an ended target again
+MOST_ENDED = 5  # by one request, over the whole deployment
+
+
+class Crashes:
+    """Ends the target of each guilty request, and starts it again."""
+
+    def __init__(self, fleet):
+        self.ended = []
+        self._tasks = set()
+        for target in fleet.targets_of("stock"):
+            self._watch(target)
+
+    def _watch(self, target):
+        answer = target._answer
+
+        async def end_or_answer(request, attempt_id, writer):
+            if request.target != GUILTY:
+                return await answer(request, attempt_id, writer)
+            self.ended.append((time.monotonic(), target.id))
+            task = asyncio.create_task(self._end(target))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            return False
+
+        target._answer = end_or_answer
+
+    async def _end(self, target):
+        ip, _, port = target.address.rpartition(":")
+        await target.stop()
+        await asyncio.sleep(DOWN_S)
+        target.begin_anew()
+        await target._server.start(ip, int(port))
+        await target.list_itself()
+
+
+async def ask_once(fleet, router, attempt_id):
+    asked = fleet.truth.ask(attempt_id, LOOKUP.service, True)
+    asked.route, asked.router = LOOKUP.name, router.front
+    ip, _, port = router.front.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(wire.format_message(
+        f"GET {GUILTY} HTTP/1.1",
+        [("Host", LOOKUP.host), (ID, attempt_id), (DEADLINE, 2000)],
+        length=False))
+    try:
+        answer = await asyncio.wait_for(
+            wire.read_message(reader, answer=True), 3)
+        asked.status = answer.status
+    finally:
+        asked.ended = time.monotonic()
+        writer.close()
+    return asked
+
+
+async def ask_for_guilty(fleet, until):
+    """Callers of all routers ask for it; each attempt has its own id."""
+    statuses = []
+    while time.monotonic() < until:
+        number = len(statuses)
+        router = fleet.routers[number % len(fleet.routers)]
+        asked = await ask_once(fleet, router, f"guilty-{number}")
+        statuses.append(asked.status)
+        await asyncio.sleep(0.25)
+    return statuses
+
+
+# One address, asked for by many, took all targets of a service down by turns.
+def test_a_request_that_ends_its_targets_is_held_back_everywhere():
+    async def scenario():
+        async with Fleet(targets_per_zone=4) as fleet:
+            await fleet.wait_ready()
+            await asyncio.sleep(1)
+            crashes = Crashes(fleet)
+            began = time.monotonic()
+            guilty = asyncio.create_task(ask_for_guilty(fleet, began + 6))
+            await fleet.load(6, routes=[LOOKUP])
+            statuses = await guilty
+            # What was held back was refused at once, as not run.
+            assert set(statuses) <= {502, 503}, statuses
+            assert statuses.count(503) > len(statuses) / 2, statuses
+            assert len(crashes.ended) >= 2
+            assert len(crashes.ended) <= MOST_ENDED, crashes.ended
+            assert fleet.truth.served(began, callers="c") > 0.9
+            text = "".join(r.log.read_text() for r in fleet.routers)
+            assert "request_held_back" in text
+
+    asyncio.run(scenario())
