--- a/test/platform/test_shutdown.py
+++ b/test/platform/test_shutdown.py
@@ -54,7 +54,7 @@
 
 
 # LOST at an operator's: lookups that pipeline were passed on to a target and
-# cut as their router ended, beside refusals and targets that answer in no time.
+# cut as their router ended, beside refusals and targets that answer too late.
 def test_routers_stopped_in_turn_cut_no_pipelined_request():
     async def scenario():
         async with Fleet(routers=6, targets_per_zone=3) as fleet:
