--- a/src/attempts/shutdown_plan.cpp
+++ b/src/attempts/shutdown_plan.cpp
@@ -8,7 +8,7 @@
 
 using namespace std::chrono_literals;
 
-/// Of the grace period.
+/// Fraction of the grace period in which connections are accepted.
 constexpr double accepting_share = 0.42;
 /// From the exit to the end of the grace period, when the process is killed.
 constexpr duration exit_margin = 400ms;
