Answer a caller in time while its claim is submitted again

A claim asks for one timer, and claim_driver has one.

Ruled out: a second timer in the driver; the claim knows both times. The property test keeps all timers that a claim ever asked for, which hid the fault.

Change: `arm_timer` asks for whichever of the two comes first.

Figures: idempotency.the_answer_is_not_late_when_the_table_falls_silent failed on the logic before, passes after.

--- a/include/vanillapost/src/idempotency/idempotency_claim.hpp
+++ b/include/vanillapost/src/idempotency/idempotency_claim.hpp
@@ -104,6 +104,7 @@
 
     claim_actions submit(claim_state state, revision expected);
     claim_actions resubmit_later(time_point now);
+    claim_actions arm_timer() const;
     claim_actions on_claimed(revision at, time_point now);
     claim_actions on_claim_conflict(const transaction_conflict& conflict,
                                     time_point now);
--- a/src/idempotency/idempotency_claim.cpp
+++ b/src/idempotency/idempotency_claim.cpp
@@ -62,7 +62,7 @@
         std::min(request_.deadline, now + settings_.claim_timeout);
     stage_ = stage::claiming;
     claim_actions actions = submit(claim_state::claimed, 0);
-    append(actions, make_actions(set_claim_timer{answer_deadline_}));
+    append(actions, arm_timer());
     return actions;
 }
 
@@ -91,9 +91,20 @@
         resubmit_time_.reset();
         actions.push_back(submit_claim{pending_});
     }
+    append(actions, arm_timer());
     return actions;
 }
 
+// There is one timer, so it is set for whatever comes first.
+claim_actions idempotency_claim::arm_timer() const
+{
+    auto next = resubmit_time_;
+    const bool owes_answer = stage_ == stage::claiming && !answered_;
+    if (owes_answer)
+        next = std::min(next.value_or(answer_deadline_), answer_deadline_);
+    return next ? make_actions(set_claim_timer{*next}) : claim_actions{};
+}
+
 claim_actions idempotency_claim::on_outcome(const stored_outcome& outcome,
                                             time_point)
 {
@@ -217,7 +228,7 @@
     const duration delay = std::min(settings_.resubmit_delay * (1 << doublings),
                                     settings_.max_resubmit_delay);
     resubmit_time_ = now + delay;
-    return make_actions(set_claim_timer{*resubmit_time_});
+    return arm_timer();
 }
 
 claim_actions idempotency_claim::submit(claim_state state, revision expected)
--- a/test/idempotency.cpp
+++ b/test/idempotency.cpp
@@ -375,6 +375,25 @@
     EXPECT_TRUE(one.claim.finished());
 }
 
+// The platform loses an answer, then gives none: the caller was left without
+// one, as the timer of the resubmission replaced that of its answer.
+TEST(idempotency, the_answer_is_not_late_when_the_table_falls_silent)
+{
+    single_claim one;
+    auto timer = one.find<set_claim_timer>()->at;
+    one.actions =
+        one.claim.on_transaction(platform_unavailable{true, ""}, start + 10ms);
+    timer = one.find<set_claim_timer>()->at;
+    one.actions = one.claim.on_timer(timer);
+    EXPECT_TRUE(one.find<submit_claim>());
+    ASSERT_TRUE(one.find<set_claim_timer>());
+    timer = one.find<set_claim_timer>()->at;
+    EXPECT_EQ(timer, start + claim_settings{}.claim_timeout);
+    one.actions = one.claim.on_timer(timer);
+    ASSERT_TRUE(one.find<refuse_request>());
+    EXPECT_EQ(one.find<refuse_request>()->ran, run_state::no);
+}
+
 TEST(idempotency, outage_refuses_at_once_and_truthfully)
 {
     for (bool repeat : {false, true}) {
