Answer bookings that wait for their claim before a stop ends

A booking whose key is being claimed is not a task yet, so the plan of a stop did not bring its answer forward. A claim is decided within 0.5 s, so with a grace period under about a second the process ended first and the caller saw its connection close.

Ruled out: refusing such bookings from the SIGTERM on; most are claimed within a round trip and can still be answered.

Change: the engine limits the answers of claims at the stop, and of those that begin after it, to the plan's last final answer.

Conclusion: read in the code and shown apart from sockets; not played with processes.

--- a/apps/router/requests/claim_driver.cpp
+++ b/apps/router/requests/claim_driver.cpp
@@ -36,6 +36,11 @@
     run(claim_.on_failure(ran, loop_.now()));
 }
 
+void claim_driver::limit_answer(time_point latest)
+{
+    run(claim_.limit_answer(latest));
+}
+
 void claim_driver::on_cancelled()
 {
     run(claim_.on_cancelled(loop_.now()));
--- a/apps/router/requests/claim_driver.hpp
+++ b/apps/router/requests/claim_driver.hpp
@@ -32,6 +32,7 @@
     void on_outcome(const stored_outcome& outcome);
     void on_failure(run_state ran);
     void on_cancelled();
+    void limit_answer(time_point latest);
 
 private:
     void run(const claim_actions& actions);
--- a/apps/router/requests/idempotency_claims.cpp
+++ b/apps/router/requests/idempotency_claims.cpp
@@ -139,6 +139,16 @@
         claim.on_failure(result.ran);
 }
 
+// A claim that ends is removed from `entries_`, so they are collected first.
+void idempotency_claims::limit_answers(time_point latest)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto& [number, each] : entries_)
+        numbers.push_back(number);
+    for (const auto number : numbers)
+        entries_.at(number)->claim->limit_answer(latest);
+}
+
 // Called by the claim, which is still on the stack: it is destroyed later.
 void idempotency_claims::finish(std::uint64_t number)
 {
--- a/apps/router/requests/idempotency_claims.hpp
+++ b/apps/router/requests/idempotency_claims.hpp
@@ -41,6 +41,10 @@
 
     void on_ended(std::uint64_t number, const claimed_result& result);
 
+    /// Brings the answers of callers that wait for a claim forward to `latest`,
+    /// if they are due later.
+    void limit_answers(time_point latest);
+
 private:
     struct entry : io::disposable
     {
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -69,10 +69,13 @@
         refuse(*exchange, *refused, request);
         return;
     }
-    if (claims_ && !request.idempotency_key.empty())
-        claims_->start(std::move(exchange), std::move(request));
-    else
+    if (!claims_ || request.idempotency_key.empty()) {
         begin(std::move(exchange), std::move(request), 0);
+        return;
+    }
+    claims_->start(std::move(exchange), std::move(request));
+    if (context_.shutdown)
+        claims_->limit_answers(context_.shutdown->answers_until());
 }
 
 void request_engine::on_connection_refused(const target_id& target)
@@ -111,6 +114,8 @@
     context_.shutdown = plan;
     for (const auto& [number, task] : tasks_)
         task->limit_deadline(plan.answers_until());
+    if (claims_)
+        claims_->limit_answers(plan.answers_until());
 }
 
 void request_engine::begin(std::unique_ptr<io::caller_exchange> exchange,
--- a/include/vanillapost/src/idempotency/idempotency_claim.hpp
+++ b/include/vanillapost/src/idempotency/idempotency_claim.hpp
@@ -77,6 +77,10 @@
     /// \param ran  `no` releases the claim
     claim_actions on_failure(run_state ran, time_point now);
 
+    /// Brings the caller's answer forward to `latest`, if the claim is decided
+    /// later than that: the process ends soon after it.
+    claim_actions limit_answer(time_point latest);
+
     /// The caller disconnected before `dispatch_claimed`.
     claim_actions on_cancelled(time_point now);
 
--- a/src/idempotency/idempotency_claim.cpp
+++ b/src/idempotency/idempotency_claim.cpp
@@ -124,6 +124,15 @@
                                                   : claim_state::unknown);
 }
 
+claim_actions idempotency_claim::limit_answer(time_point latest)
+{
+    const bool waits = stage_ == stage::claiming && !answered_;
+    if (!waits || latest >= answer_deadline_)
+        return {};
+    answer_deadline_ = latest;
+    return arm_timer();
+}
+
 claim_actions idempotency_claim::on_cancelled(time_point)
 {
     answered_ = true;
--- a/test/idempotency.cpp
+++ b/test/idempotency.cpp
@@ -394,6 +394,28 @@
     EXPECT_EQ(one.find<refuse_request>()->ran, run_state::no);
 }
 
+// A booking that waits for its claim saw the end of its connection when the
+// process ended before the claim was decided.
+TEST(idempotency, a_caller_is_answered_before_the_process_ends)
+{
+    single_claim one;
+    const auto latest = start + 100ms;
+    one.actions = one.claim.limit_answer(latest);
+    ASSERT_TRUE(one.find<set_claim_timer>());
+    EXPECT_EQ(one.find<set_claim_timer>()->at, latest);
+    one.actions = one.claim.on_timer(latest);
+    ASSERT_TRUE(one.find<refuse_request>());
+    EXPECT_EQ(one.find<refuse_request>()->ran, run_state::no);
+    one.actions = one.claim.on_transaction(transaction_done{3}, start + 200ms);
+    EXPECT_FALSE(one.find<dispatch_claimed>());
+}
+
+TEST(idempotency, a_later_end_of_the_process_changes_nothing)
+{
+    single_claim one;
+    EXPECT_TRUE(one.claim.limit_answer(start + 1h).empty());
+}
+
 TEST(idempotency, outage_refuses_at_once_and_truthfully)
 {
     for (bool repeat : {false, true}) {
