Let an instance that starts wait before it uses a share of a rate

Targets and instances of a data centre started again together. An instance that takes over a share of a target's rate waits for an interval; its first look at a target did not count as a takeover, as a target that is new to a running instance is new to all. To an instance that has just started every target is new, and it does not yet see those that start with it: each in turn took itself for an owner, and sent.

Change: for 3 s after its start an instance takes each share over as if from another owner.

--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -38,7 +38,7 @@
     : loop_(loop), adapter_(platform.adapter), settings_(settings),
       log_(loop, settings.log_lines_per_second), random_(seed),
       cluster_(describe_self(settings, seed), adapter_.queue_per_slot,
-               random_engine(random_())),
+               random_engine(random_()), loop.now()),
       state_(
           loop, *platform.store, adapter_, cluster_, metrics_, log_,
           random_engine(random_()), settings.drain_time,
--- a/apps/router/state/cluster_view.cpp
+++ b/apps/router/state/cluster_view.cpp
@@ -9,10 +9,12 @@
 /// directory for longer than this.
 constexpr duration idle_after = std::chrono::seconds(2);
 
-placement_settings make_placement(const member& self, double queue_per_slot)
+placement_settings make_placement(const member& self, double queue_per_slot,
+                                  time_point now)
 {
     placement_settings result;
     result.self = self.name;
+    result.started = now;
     result.data_centre = self.data_centre;
     result.queue_per_slot = queue_per_slot;
     return result;
@@ -21,8 +23,8 @@
 } // namespace
 
 cluster_view::cluster_view(const member& self, double queue_per_slot,
-                           random_engine random)
-    : members(self), placer(make_placement(self, queue_per_slot), random)
+                           random_engine random, time_point now)
+    : members(self), placer(make_placement(self, queue_per_slot, now), random)
 {
     placer.set_members({{self.name, self.data_centre}});
 }
--- a/apps/router/state/cluster_view.hpp
+++ b/apps/router/state/cluster_view.hpp
@@ -16,8 +16,9 @@
 {
 public:
     /// \param queue_per_slot  requests that targets queue for each slot
+    /// \param now             start of this instance
     cluster_view(const member& self, double queue_per_slot,
-                 random_engine random);
+                 random_engine random, time_point now);
 
     /// Puts a configuration in force, unless one of the same or a newer version
     /// is.
--- a/include/vanillapost/src/placement/detail/target_admission.hpp
+++ b/include/vanillapost/src/placement/detail/target_admission.hpp
@@ -12,6 +12,10 @@
 class target_admission
 {
 public:
+    /// Time after its start in which an instance may not see all members that
+    /// start with it.
+    static constexpr duration joining_time = std::chrono::seconds(3);
+
     explicit target_admission(const placement_settings& settings);
 
     /// Sets the members among which rate limits are divided.
--- a/include/vanillapost/src/placement/placement_settings.hpp
+++ b/include/vanillapost/src/placement/placement_settings.hpp
@@ -13,6 +13,7 @@
 {
     data_centre_id data_centre; ///< of this instance
     entry_id self;
+    time_point started{}; ///< start of this instance; by default long ago
     /// A target whose last report is older is probed before a request is
     /// placed.
     duration max_report_age = std::chrono::milliseconds(30);
--- a/include/vanillapost/src/placement/rate_share.hpp
+++ b/include/vanillapost/src/placement/rate_share.hpp
@@ -38,6 +38,9 @@
     entry_id self;
     std::vector<owner_candidate> members; ///< those that take requests
     std::uint64_t version = 1;            ///< rises with each change of members
+    /// Until then this instance may have just started, and the members that
+    /// start with it are not all among `members`.
+    time_point joining_until{};
 };
 
 /// One instance's share of the rate that a target accepts from all of them.
@@ -47,7 +50,8 @@
 /// requests so that together they stay within it. While instances disagree on
 /// the members, there are briefly more owners. An instance that takes over a
 /// share therefore waits for a whole interval first, in which the previous
-/// owner stops.
+/// owner stops. So does one that has just started, for all targets: those that
+/// start with it see it later than it sees itself.
 class rate_share
 {
 public:
--- a/src/placement/rate_share.cpp
+++ b/src/placement/rate_share.cpp
@@ -88,7 +88,10 @@
 {
     const auto owners = rate_owners(target, data_centre, view.members, count);
     const bool owns = std::ranges::find(owners, view.self) != owners.end();
-    const bool takes_over = view_version_ != 0 && owns && !is_owner_;
+    // While this instance joins, targets that are new to it are not new to
+    // others, which have owned them until now or are about to.
+    const bool is_known = view_version_ != 0 || now < view.joining_until;
+    const bool takes_over = is_known && owns && !is_owner_;
     if (takes_over)
         start_interval(now);
     is_owner_ = owns;
--- a/src/placement/target_admission.cpp
+++ b/src/placement/target_admission.cpp
@@ -23,6 +23,7 @@
     : max_report_age_(settings.max_report_age),
       cold_settling_time_(settings.cold_settling_time), view_{settings.self, {}}
 {
+    view_.joining_until = settings.started + joining_time;
 }
 
 void target_admission::set_members(std::vector<owner_candidate> members)
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -469,6 +469,68 @@
     }
 }
 
+/// All instances of a data centre start again within a second, each becomes
+/// ready shortly after its start, and all have more requests than a target that
+/// is cold there can handle.
+/// \return the most that it gets in one second
+std::ptrdiff_t most_in_a_second_while_all_start(std::uint64_t seed, double rate,
+                                                std::size_t size)
+{
+    random_engine random(seed);
+    struct starting
+    {
+        time_point at;
+        rate_share share;
+        rate_owner_view view;
+    };
+    std::vector<starting> instances(size);
+    for (std::size_t i = 0; i < size; ++i) {
+        instances[i].at = start + scaled(1s, draw_share(random));
+        instances[i].view.self = {"m" + std::to_string(i)};
+        instances[i].view.joining_until =
+            instances[i].at + detail::target_admission::joining_time;
+    }
+    std::vector<time_point> sent;
+    for (auto now = start; now < start + 6s; now += 10ms) {
+        for (auto& each : instances) {
+            if (now < each.at + 200ms)
+                continue;
+            std::vector<owner_candidate> seen;
+            for (const auto& other : instances)
+                if (&other == &each || now >= other.at + 250ms)
+                    seen.push_back({other.view.self, {"d1"}});
+            if (seen.size() != each.view.members.size())
+                ++each.view.version;
+            each.view.members = std::move(seen);
+            const auto send_at =
+                each.share.next_send_time({"t"}, {"d1"}, rate, each.view, now);
+            if (!send_at || *send_at > now)
+                continue;
+            each.share.start_interval(now);
+            sent.push_back(now);
+        }
+    }
+    std::ptrdiff_t most = 0;
+    for (const auto& from : sent)
+        most = std::max(most, std::ranges::count_if(sent, [&](auto at) {
+                            return at >= from && at < from + 1s;
+                        }));
+    return most;
+}
+
+// Each of them was the owner of all cold targets while the others were not yet
+// ready, and sent at once.
+TEST(Placement, AColdTargetIsNotUsedByEachInstanceThatStarts)
+{
+    for (const std::size_t size : {2u, 6u, 40u, 110u})
+        for (const double rate : {1.0, 3.27, 9.0})
+            for (std::uint64_t seed = 1; seed <= 5; ++seed)
+                EXPECT_LE(static_cast<double>(most_in_a_second_while_all_start(
+                              seed, rate, size)),
+                          rate * 1.5 + 5)
+                    << size << " instances, rate " << rate;
+}
+
 TEST(Placement, ANewcomerIsUsedByItsOwnersAsSoonAsItMayBe)
 {
     placer_fixture p({"old"});
