Tell guilty requests from innocent ones, and try them again with care

Requests that were repeated at a target which the guilty one ended next were held back with it; a popular address could be held back by two unrelated ends though other instances had answered it since; ends of the same target counted once; a target's own 504 cleared; the hold doubled from the second end on, so that what was mended waited for up to a minute; several instances tried at once; news was told once, and nothing to an instance that starts.

Ruled out: taking back what is in flight once a request is held (tried: the target ends all the same, and innocent requests lose the answer that clears them); one at a time while only suspected (read, not tried: a popular address is in flight at nearly every target that ends, and would be refused after each).

Change: crash_suspects counts starts of targets, knows that one request explains the ends of another, holds for 8.5 to 9.5 s (doubling after six ends), and says whether a request is a trial. crash_guard connects it with log, metrics and peers. Peers hear each report twice, of trials and of what was answered; one that starts hears what is held with the first hello. A refusal names the time until the next trial. A suspected request is not hedged.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -289,6 +289,7 @@
 {
     auto message = with_limits(make_heartbeat());
     message["hello"] = to_json(cluster_.members.self());
+    crashes_.add_to(message);
     message["ask"] = reply_wanted;
     socket_.send(to, write_message(message));
 }
@@ -334,7 +335,7 @@
     }
     if (rate_limit_relay::has_rate_limits(message))
         return;
-    if (crash_relay::is_report(message)) {
+    if (crash_relay::is_message(message)) {
         crashes_.handle(message, from.ip);
         return;
     }
@@ -353,6 +354,7 @@
     if (message.at("ask").get<bool>())
         send_hello(from, false);
     handle_heartbeat(from, message);
+    crashes_.handle(message, from.ip);
 }
 
 void peer_controller::handle_heartbeat(const io::address& from,
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -63,10 +63,21 @@
         crashes_.tell(report);
     }
 
-    /// \param handler  called with what a peer has told
-    void on_peer_crash(crash_relay::handler handler)
+    /// Tells peers that a request under which targets ended is tried again.
+    void on_crash_trial(const std::string& request)
     {
-        crashes_.on_report(std::move(handler));
+        crashes_.tell_trial(request);
+    }
+
+    /// Tells peers that such a request is suspected no longer.
+    void on_crash_release(const std::string& request)
+    {
+        crashes_.tell_release(request);
+    }
+
+    void set_crash_handlers(crash_relay_handlers handlers)
+    {
+        crashes_.set_handlers(std::move(handlers));
     }
 
     /// A target told this instance something new about its rate limit.
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -221,17 +221,38 @@
         return;
     }
     if (was_silent && !from.is_relay)
-        suspect_crash(from.target);
+        suspect_crash(from);
     finish_attempt(from, attempt_lost{failure.reason});
 }
 
 // A probe shows whether the target has ended with the connection.
-void request_task::suspect_crash(const target_id& target)
+void request_task::suspect_crash(const attempt& from)
 {
-    context_.suspects.on_connection_lost(identity_of(request_), target.value,
-                                         context_.loop.now());
-    context_.probes.check_connection(target);
-    unchecked_target_ = target;
+    context_.crashes.suspects().on_connection_lost(
+        identity_of(request_), from.target.value, from.start_unix_ms,
+        context_.loop.now());
+    context_.probes.check_connection(from.target);
+    unchecked_target_ = from.target;
+}
+
+bool request_task::is_held() const
+{
+    const auto& suspects = context_.crashes.suspects();
+    return !suspects.is_empty() &&
+           suspects.is_held(identity_of(request_), context_.loop.now());
+}
+
+bool request_task::is_suspected() const
+{
+    const auto& suspects = context_.crashes.suspects();
+    return !suspects.is_empty() && suspects.is_suspected(identity_of(request_));
+}
+
+void request_task::give_up_held()
+{
+    const auto left = context_.crashes.suspects().hold_left(
+        identity_of(request_), context_.loop.now());
+    give_up(status_bad_gateway, held_reason, {left, true});
 }
 
 void request_task::report_bad_answer(const attempt& from,
@@ -300,10 +321,8 @@
         fallback_ = std::move(ended);
     if (std::holds_alternative<step_wait>(step))
         return;
-    const bool held =
-        !context_.suspects.is_empty() &&
-        context_.suspects.is_held(identity_of(request_), context_.loop.now());
-    if (std::holds_alternative<step_retry>(step) && !held)
+    const bool retry = std::holds_alternative<step_retry>(step);
+    if (retry)
         repeat();
     else
         give_up(status_bad_gateway, vanillapost::describe(outcome));
@@ -371,8 +390,10 @@
         return;
     auto signal = health_signal::neutral;
     const auto* answer = std::get_if<attempt_answered>(&outcome);
-    if (answer && !ended.is_relay && !context_.suspects.is_empty())
-        context_.suspects.on_answered(identity_of(request_));
+    const bool clears =
+        answer && answer->status < first_server_error && !ended.is_relay;
+    if (clears && !context_.crashes.suspects().is_empty())
+        context_.crashes.on_answered(identity_of(request_));
     if (answer)
         signal = answer->status < first_server_error ? health_signal::good
                                                      : health_signal::failed;
--- a/apps/router/requests/request_context.hpp
+++ b/apps/router/requests/request_context.hpp
@@ -4,6 +4,7 @@
 #include "adapters/platform_adapter.hpp"
 #include "reporting/router_log.hpp"
 #include "reporting/router_metrics.hpp"
+#include "requests/crash_guard.hpp"
 #include "requests/idempotency_claims.hpp"
 #include "requests/route_statistics.hpp"
 #include "requests/service_budgets.hpp"
@@ -39,7 +40,7 @@
     /// Returns how many requests of the service wait for a slot.
     std::function<int(const service_id&)> waiting;
     /// Requests under which targets have ended.
-    crash_suspects& suspects;
+    crash_guard& crashes;
     /// To be called when a target refuses connections.
     std::function<void(const target_id&)> connection_refused;
     /// Set once this instance has been told to stop.
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -20,27 +20,32 @@
           [this](std::uint64_t waiter, const target_id& target) {
               on_probe_done(waiter, target);
           },
-          [this](const target_id& target) { on_connection_refused(target); }),
+          [this](const target_id& target) {
+              crashes_.on_connection_refused(target);
+          }),
       reach_(loop, cluster, probes_, log, random_engine(random_())),
-      budgets_(settings.repeats, loop.now()), suspects_(random_()),
-      context_{
-          loop,
-          cluster,
-          adapter,
-          metrics,
-          log,
-          connections_,
-          signals_,
-          probes_,
-          budgets_,
-          statistics_,
-          random_,
-          [this](request_task& task) { on_ended(task); },
-          [this](const service_id& service) { on_slot_freed(service); },
-          [this](const service_id& service) { return waiting(service); },
-          suspects_,
-          [this](const target_id& target) { on_connection_refused(target); },
-          std::nullopt}
+      budgets_(settings.repeats, loop.now()),
+      crashes_(loop, metrics, log, random_(),
+               cluster.members.self().name.value),
+      context_{loop,
+               cluster,
+               adapter,
+               metrics,
+               log,
+               connections_,
+               signals_,
+               probes_,
+               budgets_,
+               statistics_,
+               random_,
+               [this](request_task& task) { on_ended(task); },
+               [this](const service_id& service) { on_slot_freed(service); },
+               [this](const service_id& service) { return waiting(service); },
+               crashes_,
+               [this](const target_id& target) {
+                   crashes_.on_connection_refused(target);
+               },
+               std::nullopt}
 {
 }
 
@@ -64,7 +69,7 @@
     const auto refused =
         run_filters(request, {cluster_, adapter_, generate_request_id_,
                               has_newest_configuration_, statistics_,
-                              context_.shutdown, suspects_});
+                              context_.shutdown, crashes_});
     if (refused) {
         refuse(*exchange, *refused, request);
         return;
@@ -78,37 +83,6 @@
         claims_->limit_answers(context_.shutdown->answers_until());
 }
 
-void request_engine::on_connection_refused(const target_id& target)
-{
-    for (const auto& report :
-         suspects_.on_connection_refused(target.value, loop_.now())) {
-        log_crash(report, cluster_.members.self().name.value);
-        if (on_crash_)
-            on_crash_(report);
-    }
-}
-
-void request_engine::on_peer_crash(const crash_report& report,
-                                   std::string_view peer)
-{
-    if (suspects_.on_peer_report(report, loop_.now()))
-        log_crash(report, peer);
-}
-
-void request_engine::log_crash(const crash_report& report,
-                               std::string_view seen_by)
-{
-    const bool held = suspects_.is_held(report.request, loop_.now());
-    metrics_.count_crash_report(held);
-    // One end accuses everything that was in flight there.
-    if (!held)
-        return;
-    log_.request(io::log_level::warning, "request_held_back",
-                 {{"request", report.request},
-                  {"target", report.target},
-                  {"seen_by", std::string(seen_by)}});
-}
-
 void request_engine::leave(const shutdown_plan& plan)
 {
     context_.shutdown = plan;
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -1,6 +1,7 @@
 #ifndef VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_ENGINE_HPP
 #define VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_ENGINE_HPP
 
+#include "requests/crash_guard.hpp"
 #include "requests/request_task.hpp"
 #include "router_settings.hpp"
 #include "targets/reach_monitor.hpp"
@@ -28,15 +29,11 @@
     void handle(std::unique_ptr<io::caller_exchange> exchange,
                 io::http_request message);
 
-    /// \param handler  called with each target that ended under a request
-    void on_crash(std::function<void(const crash_report&)> handler)
+    crash_guard& crashes()
     {
-        on_crash_ = std::move(handler);
+        return crashes_;
     }
 
-    /// A peer has seen a target end under a request.
-    void on_peer_crash(const crash_report& report, std::string_view peer);
-
     /// To be called when this instance is told to stop: what it cannot answer
     /// in time is refused, and every request gets its final answer by the
     /// plan's end.
@@ -70,8 +67,6 @@
     void on_probe_done(std::uint64_t waiter, const target_id& target);
     void on_slot_freed(const service_id& service);
     void on_ended(request_task& task);
-    void on_connection_refused(const target_id& target);
-    void log_crash(const crash_report& report, std::string_view seen_by);
 
     io::event_loop& loop_;
     cluster_view& cluster_;
@@ -86,8 +81,7 @@
     reach_monitor reach_;
     service_budgets budgets_;
     route_statistics statistics_;
-    crash_suspects suspects_;
-    std::function<void(const crash_report&)> on_crash_;
+    crash_guard crashes_;
     request_context context_;
     /// Null if the platform has no table.
     idempotency_claims* claims_ = nullptr;
--- a/apps/router/requests/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -159,13 +159,17 @@
 crash_filter::operator()(incoming_request& request,
                          const filter_context& context) const
 {
-    if (context.suspects.is_empty())
+    const auto& suspects = context.crashes.suspects();
+    if (suspects.is_empty())
         return std::nullopt;
     const auto identity = identity_of(request.message);
-    if (context.suspects.admits(identity, request.arrived))
+    const auto admission = context.crashes.admit(identity);
+    request.is_trial = admission == crash_admission::trial;
+    if (admission != crash_admission::held)
         return std::nullopt;
-    return refusal(status_unavailable, "crash",
-                   "targets ended under this request");
+    auto result = refusal(status_unavailable, "crash", held_reason);
+    result.retry_after = suspects.hold_left(identity, request.arrived);
+    return result;
 }
 
 std::optional<problem> run_filters(incoming_request& request,
--- a/apps/router/requests/request_filters.hpp
+++ b/apps/router/requests/request_filters.hpp
@@ -1,6 +1,7 @@
 #ifndef VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_FILTERS_HPP
 #define VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_FILTERS_HPP
 
+#include "requests/crash_guard.hpp"
 #include "requests/problem.hpp"
 #include "requests/route_statistics.hpp"
 #include "state/cluster_view.hpp"
@@ -21,7 +22,8 @@
     time_point arrived{};
     std::optional<duration> time_left; ///< until the caller's deadline
     std::string idempotency_key;       ///< idempotency key; empty if none
-    bool is_relayed = false;           ///< by a peer that reaches no target
+    bool is_trial = false;   ///< requests like it end their targets, or did
+    bool is_relayed = false; ///< by a peer that reaches no target
 };
 
 /// What filters need in addition to the request.
@@ -34,7 +36,7 @@
     const std::function<bool()>& has_newest_configuration;
     const route_statistics& statistics;
     const std::optional<shutdown_plan>& shutdown;
-    crash_suspects& suspects;
+    crash_guard& crashes;
 };
 
 /// Generates a request id if the caller sent none.
@@ -101,6 +103,10 @@
                  deadline_filter, idempotency_key_filter, shutdown_filter,
                  crash_filter>;
 
+/// Why a request is refused under which targets have ended.
+inline constexpr std::string_view held_reason =
+    "targets ended under this request";
+
 /// Identity by which requests under which targets end are counted.
 std::string identity_of(const io::http_request& message);
 
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -38,7 +38,8 @@
                            incoming_request request, service_id service)
     : number_(number), context_(context), exchange_(std::move(exchange)),
       request_(std::move(request.message)), id_(std::move(request.id)),
-      rule_(std::move(request.rule)), is_relayed_(request.is_relayed),
+      rule_(std::move(request.rule)), is_trial_(request.is_trial),
+      is_relayed_(request.is_relayed),
       claimed_(!request.idempotency_key.empty()), service_(std::move(service)),
       tracker_(may_repeat(rule_.kind), rule_.max_attempts),
       arrived_(request.arrived), timer_(context.loop, [this] {
@@ -124,6 +125,11 @@
         give_up(status_gateway_timeout, "too little time is left");
         return;
     }
+    const bool is_own_trial = is_trial_ && tracker_.started() == 0;
+    if (!hedging_ && !is_own_trial && is_held()) {
+        give_up_held();
+        return;
+    }
     if (context_.cluster.is_cut_off() && relay()) {
         arm_timer();
         return;
@@ -249,7 +255,7 @@
     next_check_at_ = time_point::max();
     const auto now = context_.loop.now();
     const bool allowed =
-        ++checks_ <= max_checks && tracker_.may_start() &&
+        ++checks_ <= max_checks && tracker_.may_start() && !is_suspected() &&
         context_.budgets.of(service_).has_room(now, hedge_reserve);
     if (!allowed)
         return;
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -112,7 +112,10 @@
     void begin_streaming(attempt& from);
     void resume_streams();
     void process_end(attempt& from);
-    void suspect_crash(const target_id& target);
+    void suspect_crash(const attempt& from);
+    bool is_held() const;
+    bool is_suspected() const;
+    void give_up_held();
     void report_bad_answer(const attempt& from, io::answer_fault fault,
                            std::string_view reason);
     void process_failure(attempt& from, const io::target_failure& failure);
@@ -150,6 +153,7 @@
     io::http_request request_;
     std::string id_;
     route rule_;
+    bool is_trial_;        ///< sent although requests like it are held back
     bool is_relayed_;      ///< a peer sent it, so it is not relayed again
     bool relayed_ = false; ///< a peer may have run it
     bool claimed_;         ///< under a claim, which needs the result
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -71,12 +71,7 @@
             callers_.announce_close(cut_off);
         peers_.on_reach_changed();
     });
-    engine_.on_crash(
-        [this](const crash_report& report) { peers_.on_crash(report); });
-    peers_.on_peer_crash(
-        [this](const crash_report& report, std::string_view peer) {
-            engine_.on_peer_crash(report, peer);
-        });
+    connect_crash_reports();
     loop.on_failure([this](const io::callback_failure& failure) {
         report_callback_failure(failure);
     });
@@ -91,6 +86,32 @@
     engine_.set_claims(*claims_);
 }
 
+void router_server::connect_crash_reports()
+{
+    auto& guard = engine_.crashes();
+    guard.on_report(
+        [this](const crash_report& report) { peers_.on_crash(report); });
+    guard.on_trial(
+        [this](const std::string& request) { peers_.on_crash_trial(request); });
+    guard.on_release([this](const std::string& request) {
+        peers_.on_crash_release(request);
+    });
+    crash_relay_handlers handlers;
+    handlers.on_report = [&guard](const crash_report& report,
+                                  std::string_view peer) {
+        guard.on_peer_report(report, peer);
+    };
+    handlers.on_trial = [&guard](const std::string& request) {
+        guard.on_peer_trial(request);
+    };
+    handlers.on_release = [&guard](const std::string& request,
+                                   std::string_view peer) {
+        guard.on_peer_release(request, peer);
+    };
+    handlers.held = [&guard] { return guard.held_reports(); };
+    peers_.set_crash_handlers(std::move(handlers));
+}
+
 void router_server::report_callback_failure(const io::callback_failure& failure)
 {
     metrics_.count_callback_failure();
--- a/include/vanillapost/attempts.hpp
+++ b/include/vanillapost/attempts.hpp
@@ -7,6 +7,7 @@
 #include "src/attempts/attempt_outcome.hpp"
 #include "src/attempts/attempt_tracker.hpp"
 #include "src/attempts/caller_wait_estimator.hpp"
+#include "src/attempts/crash_report.hpp"
 #include "src/attempts/crash_suspects.hpp"
 #include "src/attempts/retry_after_estimate.hpp"
 #include "src/attempts/retry_budget.hpp"
--- a/include/vanillapost/src/attempts/crash_suspects.hpp
+++ b/include/vanillapost/src/attempts/crash_suspects.hpp
@@ -2,8 +2,10 @@
 #define VANILLAPOST_SRC_ATTEMPTS_CRASH_SUSPECTS_HPP
 
 #include "../base/time.hpp"
+#include "crash_report.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -11,31 +13,33 @@
 
 namespace vanillapost {
 
-/// A target that ended while it had a request.
-struct crash_report
-{
-    std::string request; ///< \ref request_identity of it
-    std::string target;
-};
-
 /// Names what one request shares with others that have the same effect on a
 /// target: its method, host and target, and a digest of its body. Of bounded
 /// length and printable whatever the request holds.
 std::string request_identity(std::string_view method, std::string_view host,
                              std::string_view target, std::string_view body);
 
+/// Whether a request may be sent to a target.
+enum class crash_admission
+{
+    allowed,
+    trial, ///< allowed, to see whether it still ends its target
+    held   ///< refused: targets have ended under requests like it
+};
+
 /// Requests under which targets have ended, and whether one like them may be
 /// sent to a further target.
 ///
 /// A target that ends breaks every request in flight there, so one end accuses
-/// them all. A request is held back once distinct targets have ended under it,
-/// as only a guilty one is there again and again; one that was answered since
-/// is cleared. A broken connection alone accuses nobody: it counts once the
-/// target refuses connections too.
+/// them all. A request is held back once two targets have ended under it, as
+/// only a guilty one is there again and again; one that was answered since is
+/// cleared. So is one whose ends another request explains: it was in flight at
+/// the same targets, and at more of them. A broken connection alone accuses
+/// nobody: it counts once the target refuses connections too.
 ///
-/// What is held back is tried again after a time that doubles with each further
-/// target that ends under it. The time is drawn for each instance, so that one
-/// of them tries first and the others hear of its result.
+/// What is held back is tried again after a time that is drawn for each
+/// instance, so that one of them tries first; the others hear of the trial and
+/// wait for its result. After many ends the time doubles with each further one.
 class crash_suspects
 {
 public:
@@ -44,8 +48,9 @@
     explicit crash_suspects(std::uint64_t key);
 
     /// A connection to the target broke before an answer to the request.
+    /// \param start_unix_ms  start of the target process
     void on_connection_lost(std::string_view request, std::string_view target,
-                            time_point now);
+                            std::int64_t start_unix_ms, time_point now);
 
     /// The target refuses connections.
     /// \return what this accuses for the first time, to be told to peers
@@ -56,17 +61,44 @@
     /// \return whether it was news
     bool on_peer_report(const crash_report& report, time_point now);
 
-    /// The request was answered by a target.
-    void on_answered(std::string_view request);
+    /// A peer has begun a trial of the request.
+    void on_peer_trial(std::string_view request, time_point now);
+
+    /// Forgets the request: a target has answered it, or an operator says that
+    /// it does no harm any more.
+    /// \return whether a target had ended under it
+    bool release(std::string_view request);
+
+    /// Returns whether the request may be sent to a target. Once a held one's
+    /// time is over, one is let through.
+    crash_admission admit(std::string_view request, time_point now);
 
-    /// Returns whether the request may be sent to a target that it has not been
-    /// sent to. Once a held one's time is over, one is let through.
-    bool admits(std::string_view request, time_point now);
+    /// Whether it has been held back, until now or until its latest trial.
+    bool was_held(std::string_view request) const;
+
+    /// Whether a target has ended under it.
+    bool is_suspected(std::string_view request) const
+    {
+        return find(request) != nullptr;
+    }
 
     /// Returns whether the request is held back, without letting one through.
     bool is_held(std::string_view request, time_point now) const;
 
-    /// Whether there is anything that `admits` could hold back.
+    /// Time until the next request like this one is let through; zero if it is
+    /// not held back.
+    duration hold_left(std::string_view request, time_point now) const;
+
+    /// The latest ends under requests that are held back, to be told to an
+    /// instance that has just started.
+    /// \param most  reports at most
+    std::vector<crash_report> held_reports(std::size_t most,
+                                           time_point now) const;
+
+    /// Identities of the requests that are held back.
+    std::vector<std::string> held_requests(time_point now) const;
+
+    /// Whether there is anything that `admit` could hold back.
     bool is_empty() const
     {
         return entries_.empty();
@@ -77,31 +109,47 @@
     static constexpr std::size_t max_pending = 2048;
 
 private:
+    struct ended_target
+    {
+        std::string target;
+        std::int64_t start_unix_ms = 0; ///< 0 if a peer has not told
+    };
+
     struct entry
     {
-        std::vector<std::uint64_t> targets; ///< distinct ones that ended
+        std::string request;
+        std::vector<ended_target> ended; ///< the latest ones
+        std::size_t ends = 0;
         time_point last_accused{};
         time_point held_until{};
-        duration hold{}; ///< before the next trial; zero until it is held
     };
 
     struct lost_connection
     {
-        std::uint64_t target;
-        std::string target_name;
+        std::string target;
+        std::int64_t start_unix_ms = 0;
         std::string request;
         time_point at{};
     };
 
+    static bool is_same(const ended_target& one, const ended_target& other);
+    static bool is_forgotten(const entry& accused, time_point now);
+    static bool explains(const entry& other, const entry& accused);
+
     std::uint64_t hash(std::string_view text) const;
-    bool accuse(std::string_view request, std::string_view target,
+    const entry* find(std::string_view request) const;
+    bool is_explained(const entry& accused) const;
+    bool is_held(const entry& accused, time_point now) const;
+    bool accuse(std::string_view request, ended_target ended, time_point at,
                 time_point now);
-    void extend_hold(entry& held, time_point now) const;
+    time_point end_of_hold(const entry& held) const;
     void make_room(time_point now);
+    void forget_old(time_point now);
 
     std::uint64_t key_;
     std::unordered_map<std::uint64_t, entry> entries_; ///< by hashed request
     std::vector<lost_connection> pending_;
+    time_point next_cleanup_{};
 };
 
 } // namespace vanillapost
--- a/test/platform/test_crashes.py
+++ b/test/platform/test_crashes.py
@@ -1,6 +1,7 @@
 """A request that ends every target that works on it."""
 
 import asyncio
+import json
 import os
 import sys
 import time
@@ -22,6 +23,7 @@
 
     def __init__(self, fleet):
         self.ended = []
+        self.mended = False
         self._tasks = set()
         for target in fleet.targets_of("stock"):
             self._watch(target)
@@ -30,7 +32,7 @@
         answer = target._answer
 
         async def end_or_answer(request, attempt_id, writer):
-            if request.target != GUILTY:
+            if request.target != GUILTY or self.mended:
                 return await answer(request, attempt_id, writer)
             self.ended.append((time.monotonic(), target.id))
             task = asyncio.create_task(self._end(target))
@@ -68,6 +70,37 @@
     return asked
 
 
+async def ask_until_held(fleet):
+    """Asks at one router after the other until one refuses it."""
+    for number in range(60):
+        router = fleet.routers[number % len(fleet.routers)]
+        asked = await ask_once(fleet, router, f"first-{number}")
+        if asked.status == 503:
+            return
+        await asyncio.sleep(0.1)
+    raise AssertionError("it was never held back")
+
+
+async def ask_all(fleet, name):
+    """Its statuses at all routers."""
+    return [(await ask_once(fleet, router, f"{name}-{number}")).status
+            for number, router in enumerate(fleet.routers)]
+
+
+async def query(router, method, path, body=b""):
+    """Asks a router as an operator on its machine does."""
+    ip, _, port = router.settings["query_address"].rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(wire.format_message(
+        f"{method} {path} HTTP/1.1", [("Host", "operator")], body))
+    try:
+        answer = await asyncio.wait_for(
+            wire.read_message(reader, answer=True), 3)
+    finally:
+        writer.close()
+    return answer.status, answer.body
+
+
 async def ask_for_guilty(fleet, until):
     """Callers of all routers ask for it; each attempt has its own id."""
     statuses = []
@@ -103,6 +136,49 @@
     asyncio.run(scenario())
 
 
+# It knew nothing of what its peers held back, and ended two targets more.
+def test_a_router_that_starts_holds_back_what_its_peers_do():
+    async def scenario():
+        async with Fleet(targets_per_zone=4) as fleet:
+            await fleet.wait_ready()
+            crashes = Crashes(fleet)
+            await ask_until_held(fleet)
+            await asyncio.sleep(0.2)
+            before = len(crashes.ended)
+            restarted = fleet.routers[0]
+            restarted.kill()
+            await restarted.wait_end()
+            restarted.start()
+            await fleet.wait_ready()
+            asked = await ask_once(fleet, restarted, "after-start")
+            assert asked.status == 503, asked.status
+            assert len(crashes.ended) == before, crashes.ended
+
+    asyncio.run(scenario())
+
+
+def test_an_operator_releases_a_held_request_on_all_routers():
+    async def scenario():
+        async with Fleet(targets_per_zone=4) as fleet:
+            await fleet.wait_ready()
+            crashes = Crashes(fleet)
+            await ask_until_held(fleet)
+            await asyncio.sleep(0.2)
+            crashes.mended = True
+            assert set(await ask_all(fleet, "held")) == {503}
+            status, body = await query(fleet.routers[0], "GET", "/v1/held")
+            held = json.loads(body)["requests"]
+            assert status == 200 and len(held) == 1, (status, body)
+            assert held[0].endswith(GUILTY), held
+            status, _ = await query(fleet.routers[0], "POST",
+                                    "/v1/held/release", held[0].encode())
+            assert status == 200
+            await asyncio.sleep(0.2)
+            assert set(await ask_all(fleet, "released")) == {200}
+
+    asyncio.run(scenario())
+
+
 # Probes that were in flight broke with the target, and nobody asked it again
 # whether it had ended; the next request ended two more targets meanwhile.
 def test_an_end_is_noticed_at_once_beside_other_requests():
