Let operators see and release requests that are held back

Ruled out: the table of records (the users' platform has none of ours); the path for callers (who sends a guilty request must not release it).

Change: `GET /v1/held` and `POST /v1/held/release` on the router's own addresses, only from the same machine; peers are told. vanillapost-explain names the request that is held back and the targets that ended under it.

--- a/apps/explain/explanation.cpp
+++ b/apps/explain/explanation.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 #include <tuple>
 
 namespace vanillapost::explain {
@@ -13,6 +14,8 @@
 
 constexpr std::string_view ended_event = "request_ended";
 constexpr std::string_view refused_event = "request_refused";
+constexpr std::string_view held_event = "request_held_back";
+constexpr std::string_view held_reason = "targets ended under this request";
 
 /// Events that change what an instance believes.
 constexpr std::array<std::string_view, 9> belief_events = {
@@ -72,6 +75,9 @@
                " has no route for " + line.field("target") + ".";
     if (reason == "no configuration is known yet")
         return "The instance had not read any configuration yet.";
+    if (reason == held_reason)
+        return "Targets ended under requests like it, so it is held back. It "
+               "was not sent.";
     return "It was refused: " + reason + ".";
 }
 
@@ -104,6 +110,31 @@
            " ms went into waiting and other attempts.";
 }
 
+// Names the request that is held back, which other requests share, and the
+// targets that ended under it.
+std::string describe_hold(std::span<const log_line> lines,
+                          const log_line& refused)
+{
+    const auto address = refused.field("target");
+    std::string request;
+    std::set<std::string> ended;
+    for (const auto& line : lines) {
+        const bool concerns =
+            line.event == held_event && line.time <= refused.time &&
+            line.field("request").find(address) != std::string::npos;
+        if (!concerns)
+            continue;
+        request = line.field("request");
+        ended.insert(line.field("target"));
+    }
+    if (address.empty() || ended.empty())
+        return "";
+    std::string text = " What is held back: " + request + "; ended:";
+    for (const auto& target : ended)
+        text += " " + target;
+    return text + ".";
+}
+
 } // namespace
 
 std::vector<told_attempt> parse_attempts(std::string_view text)
@@ -162,6 +193,8 @@
         beliefs[line.instance].clear();
         path.lines.push_back(line);
         path.cause = explain_request(line);
+        if (line.field("reason") == held_reason)
+            path.cause += describe_hold(lines, line);
     }
     return path;
 }
--- a/apps/router/directory/directory.cpp
+++ b/apps/router/directory/directory.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_forbidden = 403;
 constexpr int status_not_found = 404;
+constexpr int status_wrong_method = 405;
 constexpr int status_unavailable = 503;
 /// State answers above this size are limited to `max_large_states` in any
 /// `large_state_window`: a slow link carries about ten of them a second.
@@ -25,6 +27,8 @@
 constexpr const char* text_type = "text/plain";
 constexpr std::string_view health_path = "/healthz";
 constexpr std::string_view status_path = "/v1/status";
+constexpr std::string_view held_path = "/v1/held";
+constexpr std::string_view release_path = "/v1/held/release";
 
 directory_answer text_answer(int status, std::string_view text)
 {
@@ -36,10 +40,11 @@
 directory::directory(io::event_loop& loop, cluster_view& cluster,
                      const state_controller& state,
                      const platform_adapter& adapter,
-                     const prometheus::Registry& metrics,
+                     const prometheus::Registry& metrics, crash_guard& crashes,
                      duration answer_lifetime, random_engine random)
     : loop_(loop), cluster_(cluster), state_(state), adapter_(adapter),
-      metrics_(metrics), answer_lifetime_(answer_lifetime), random_(random)
+      metrics_(metrics), crashes_(crashes), answer_lifetime_(answer_lifetime),
+      random_(random)
 {
 }
 
@@ -49,6 +54,7 @@
     for (const auto& each : addresses) {
         if (each.ip.empty() || !bound.insert(each).second)
             continue;
+        own_ip_ = each.ip;
         servers_.push_back(std::make_unique<io::http_server>(
             loop_, io::http_server_limits{},
             [this](std::unique_ptr<io::server_exchange> exchange) {
@@ -63,10 +69,49 @@
     std::string target(exchange->path());
     if (!exchange->query().empty())
         target += '?' + std::string(exchange->query());
-    const auto found =
-        answer(target).value_or(text_answer(status_not_found, "no such path"));
-    exchange->reply(found.status, {{{"Content-Type", found.content_type}}},
-                    found.body);
+    auto found = answer_operator(*exchange);
+    if (!found)
+        found = answer(target);
+    if (!found)
+        found = text_answer(status_not_found, "no such path");
+    exchange->reply(found->status, {{{"Content-Type", found->content_type}}},
+                    found->body);
+}
+
+// Only from the machine itself: what is held back must not be released by those
+// who send it.
+std::optional<directory_answer>
+directory::answer_operator(const io::server_exchange& exchange)
+{
+    const auto path = exchange.path();
+    if (path != held_path && path != release_path)
+        return std::nullopt;
+    if (!is_own_machine(exchange.peer()))
+        return text_answer(status_forbidden, "only from the same machine");
+    if (path == held_path)
+        return make_held_answer();
+    if (exchange.method() != "POST")
+        return text_answer(status_wrong_method, "POST it");
+    return release_held(std::string(exchange.body()));
+}
+
+bool directory::is_own_machine(std::string_view peer) const
+{
+    const auto ip = peer.substr(0, peer.rfind(':'));
+    return ip.starts_with("127.") || ip == own_ip_;
+}
+
+directory_answer directory::make_held_answer() const
+{
+    const nlohmann::json body = {{"requests", crashes_.held_requests()}};
+    return {status_ok, json_type, body.dump()};
+}
+
+directory_answer directory::release_held(const std::string& request)
+{
+    return crashes_.release(request)
+               ? text_answer(status_ok, "released here, and peers are told")
+               : text_answer(status_not_found, "not held back here");
 }
 
 std::optional<directory_answer> directory::answer(std::string_view target)
--- a/apps/router/directory/directory.hpp
+++ b/apps/router/directory/directory.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_DIRECTORY_DIRECTORY_HPP
 
 #include "adapters/platform_adapter.hpp"
+#include "requests/crash_guard.hpp"
 #include "state/cluster_view.hpp"
 #include "state/state_controller.hpp"
 #include "vanillapost/io.hpp"
@@ -21,14 +22,15 @@
 };
 
 /// Serves the router's own paths, which need no target: addresses of instances
-/// for callers, readiness, health, status, metrics, and state for peers.
+/// for callers, readiness, health, status, metrics, and state for peers; to
+/// operators on the same machine, requests that are held back.
 class directory
 {
 public:
     directory(io::event_loop& loop, cluster_view& cluster,
               const state_controller& state, const platform_adapter& adapter,
-              const prometheus::Registry& metrics, duration answer_lifetime,
-              random_engine random);
+              const prometheus::Registry& metrics, crash_guard& crashes,
+              duration answer_lifetime, random_engine random);
 
     /// Serves all paths at each of these addresses. An address that is listed
     /// twice is bound once; one without an IP number is skipped.
@@ -56,16 +58,23 @@
     directory_answer make_state_answer(std::string_view query);
     bool may_send_large_state();
     directory_answer make_status_answer() const;
+    std::optional<directory_answer>
+    answer_operator(const io::server_exchange& exchange);
+    bool is_own_machine(std::string_view peer) const;
+    directory_answer make_held_answer() const;
+    directory_answer release_held(const std::string& request);
 
     io::event_loop& loop_;
     cluster_view& cluster_;
     const state_controller& state_;
     const platform_adapter& adapter_;
     const prometheus::Registry& metrics_;
+    crash_guard& crashes_;
     duration answer_lifetime_;
     random_engine random_;
     std::vector<time_point> large_states_sent_; ///< times of recent ones
     bool ready_ = false;
+    std::string own_ip_; ///< at which this instance listens
     std::vector<std::unique_ptr<io::http_server>> servers_;
 };
 
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -58,7 +58,8 @@
            }},
           random_engine(random_())),
       directory_(loop, cluster_, state_, adapter_, metrics_.registry(),
-                 settings.answer_lifetime, random_engine(random_())),
+                 engine_.crashes(), settings.answer_lifetime,
+                 random_engine(random_())),
       callers_(loop, server_limits({}),
                [this](std::unique_ptr<io::caller_exchange> exchange) {
                    handle(std::move(exchange));
--- a/test/explain.cpp
+++ b/test/explain.cpp
@@ -70,6 +70,29 @@
     EXPECT_TRUE(find_request(contents.lines, "y").lines.empty());
 }
 
+TEST(Explain, ARequestThatIsHeldBackIsNamedWithTheTargetsThatEnded)
+{
+    const auto held = [](const std::string& time, const std::string& request,
+                         const std::string& target) {
+        return line(time, "r2", "request_held_back",
+                    R"(,"request":")" + request + R"(","target":")" + target +
+                        '"');
+    };
+    const auto contents =
+        read(held("t1", "GET/a.example/bad/1", "i-1") +
+             held("t2", "GET/a.example/bad/1", "i-2") +
+             held("t2", "GET/a.example/other", "i-3") +
+             line("t3", "r1", "request_refused",
+                  R"(,"request_id":"x","target":"/bad/1",)"
+                  R"("reason":"targets ended under this request")") +
+             held("t4", "GET/a.example/bad/1", "i-4"));
+    const auto cause = find_request(contents.lines, "x").cause;
+    EXPECT_NE(cause.find("It was not sent. What is held back: "
+                         "GET/a.example/bad/1; ended: i-1 i-2."),
+              std::string::npos)
+        << cause;
+}
+
 TEST(Explain, FailuresAreGroupedByCause)
 {
     std::string text;
