Use no connection again after a refusal without an id

A faulty target writes a refusal once more. With its id the copy is dropped; where a target leaves the id out nothing tells the copy from the next answer on that connection, and a booking that ran counted as not run and was sent to a second target.

Change: an answer without an id to a request with one ends its connection, as does a refusal of a probe, which bears no id.

--- a/src/io/target_link.cpp
+++ b/src/io/target_link.cpp
@@ -17,6 +17,7 @@
 using namespace std::chrono_literals;
 
 constexpr int first_final_status = 200;
+constexpr int last_success_status = 299;
 /// A kept connection is given up this long before its target closes it, so
 /// that no request crosses that close.
 constexpr duration keep_alive_margin = 1500ms;
@@ -237,7 +238,11 @@
     // request.
     const bool early =
         evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
-    if (early || !head.keep_alive || head.ends_with_connection)
+    // Nothing would tell a copy of it from the next answer. Answers to probes
+    // bear no id; of these a refusal could be believed in the wrong place.
+    const bool is_mistakable =
+        !id && (!id_.empty() || head.status > last_success_status);
+    if (early || !head.keep_alive || head.ends_with_connection || is_mistakable)
         keep_ = false;
     if (const auto told = announced_idle_timeout(head.headers))
         idle_timeout_ = std::min(settings_.idle_timeout, *told);
--- a/test/target_pool.cpp
+++ b/test/target_pool.cpp
@@ -166,6 +166,38 @@
     EXPECT_FALSE(p.pool.has_idle());
 }
 
+// Without an id nothing tells its copy from the next answer: bookings ran at
+// two targets, as the copy of a refusal was believed.
+TEST(TargetPool, AConnectionIsNotUsedAgainAfterARefusalWithoutAnId)
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    for (const auto* id : {"1", ""}) { // a request, and a probe
+        pooled p;
+        noted before;
+        before.call =
+            p.pool.start({request_bytes, id, false}, before.handlers());
+        p.await_request().send(refusal);
+        p.await(before);
+        EXPECT_EQ(before.head.status, 503);
+        EXPECT_FALSE(p.pool.has_idle());
+        noted call;
+        p.serve(call, answer, 2);
+        EXPECT_TRUE(call.done);
+        EXPECT_EQ(call.body, "ok");
+    }
+}
+
+TEST(TargetPool, AConnectionIsUsedAgainAfterAProbe)
+{
+    pooled p;
+    noted probe;
+    probe.call = p.pool.start({request_bytes, "", false}, probe.handlers());
+    p.await_request().send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    p.await(probe);
+    EXPECT_TRUE(p.pool.has_idle());
+}
+
 // Callers got a 200 with an empty body, framed as whole.
 TEST(TargetPool, AnAnswerThatEndsWithinItsHeadIsNoAnswer)
 {
