Bound the large bodies of all requests together

Four uploads of 60 MiB, each within its limit, exceed 390 MB: nothing bounded their sum, and each is held up to three times. The process is killed with other callers' bookings in flight.

Change: body_budget, apart from sockets. A body over 64 KiB reserves its length before it is read on; what finds no room waits unread, in order, and is refused with 503 and Retry-After after 5 s.

--- a/include/vanillapost/src/io/caller_server.hpp
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -27,6 +27,11 @@
     /// Time without progress in the body of a request, or in an answer that
     /// its caller does not read.
     duration stall_timeout = std::chrono::seconds(20);
+    /// Of all bodies over 64 KiB together, of requests that are being read or
+    /// have not been answered. Further ones wait, unread.
+    std::size_t max_total_body_bytes = 64 * 1024 * 1024;
+    /// After which a body that waits for room is refused with 503.
+    duration room_timeout = std::chrono::seconds(5);
     std::size_t max_pipelined = 64; ///< requests of one connection at a time
     std::size_t max_connections = 8192;
 };
--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_SRC_IO_DETAIL_CALLER_CONNECTION_HPP
 
 #include "../caller_server.hpp"
+#include "body_budget.hpp"
 #include "connection_end.hpp"
 #include "http1_reader.hpp"
 
@@ -32,6 +33,7 @@
     bool finished = false;
     bool broken = false; ///< the connection ends at its turn
     std::string held;    ///< answer bytes behind those of earlier requests
+    std::optional<body_budget::lease> room; ///< of a large body
 
     static void notify_gone(caller_exchange& owner);
 };
@@ -44,6 +46,7 @@
     caller_server::handler handle;
     server_phase phase = server_phase::serving;
     std::size_t in_flight = 0;
+    body_budget bodies{0};
     std::function<void(caller_connection&)> ended;
 };
 
@@ -97,7 +100,11 @@
     void take_head(message_head&& head);
     void take_body(std::string_view bytes);
     void take_request();
-    void refuse(int status, std::string_view reason);
+    void refuse(int status, std::string_view reason, header_list headers = {});
+    bool has_room_for_body();
+    void wait_for_room(std::size_t bytes);
+    void check_waiting(time_point now);
+    void stop_waiting();
     void flush();
     void drop_slots(std::size_t kept = 0);
     bool has_unread() const;
@@ -121,6 +128,8 @@
     std::unique_ptr<caller_slot> incoming_;
     bool headers_read_ = false;
     bool body_too_large_ = false;
+    std::optional<std::uint64_t> body_length_; ///< if the caller told it
+    time_point waits_since_{};                 ///< for room for its body
     bool wants_go_on_ = false; ///< its caller waits before it sends the body
     bool reading_ = false;
     connection_end end_;
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "vanillapost/src/io/detail/caller_connection.hpp"
 
+#include "vanillapost/src/base/number_text.hpp"
 #include "vanillapost/src/io/detail/socket.hpp"
 
 #include <algorithm>
@@ -25,6 +26,9 @@
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_headers_too_large = 431;
+constexpr int status_unavailable = 503;
+/// Bodies up to this size need no room of the \ref body_budget.
+constexpr std::size_t small_body_bytes = std::size_t{64} * 1024;
 
 caller_connection& connection_of(void* self)
 {
@@ -123,6 +127,8 @@
         }
         if (slots_.size() >= host_.limits.max_pipelined)
             break;
+        if (reader_.in_message() && headers_read_ && !has_room_for_body())
+            break;
         if (!reader_.in_message()) {
             reader_.set_max_header_bytes(host_.limits.max_header_bytes);
             message_since_ = host_.loop->now();
@@ -157,11 +163,71 @@
     incoming_->request.method = std::move(head.method);
     incoming_->request.target = std::move(head.target);
     incoming_->request.headers = std::move(head.headers);
+    const auto length =
+        find_header(incoming_->request.headers, "Content-Length");
+    body_length_ = length ? parse_number<std::uint64_t>(*length) : std::nullopt;
     wants_go_on_ =
         find_header(incoming_->request.headers, "Expect").has_value();
     tell_to_go_on();
 }
 
+// A body of unknown length reserves the most that is allowed: what it has can
+// then always be completed.
+bool caller_connection::has_room_for_body()
+{
+    if (!incoming_ || incoming_->room)
+        return true;
+    auto& body = incoming_->request.body;
+    const bool is_large = body.size() > small_body_bytes ||
+                          body_length_.value_or(0) > small_body_bytes;
+    if (!is_large)
+        return true;
+    if (host_.bodies.is_waiting(this))
+        return false;
+    const auto most = host_.limits.max_body_bytes;
+    const auto bytes = static_cast<std::size_t>(
+        std::min<std::uint64_t>(body_length_.value_or(most), most));
+    incoming_->room = host_.bodies.reserve(bytes);
+    if (!incoming_->room) {
+        wait_for_room(bytes);
+        return false;
+    }
+    if (body_length_)
+        body.reserve(bytes);
+    return true;
+}
+
+// Nothing more is read meanwhile, so that the kernel holds its caller back.
+void caller_connection::wait_for_room(std::size_t bytes)
+{
+    waits_since_ = host_.loop->now();
+    bufferevent_disable(stream_.get(), EV_READ);
+    host_.bodies.wait(this, bytes, [this](body_budget::lease granted) {
+        incoming_->room.emplace(std::move(granted));
+        heard_ = host_.loop->now();
+        message_since_ += heard_ - waits_since_;
+        bufferevent_enable(stream_.get(), EV_READ);
+        bufferevent_trigger(stream_.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+    });
+}
+
+void caller_connection::stop_waiting()
+{
+    host_.bodies.cancel(this);
+    if (incoming_)
+        incoming_->room.reset();
+}
+
+void caller_connection::check_waiting(time_point now)
+{
+    if (now - waits_since_ <= host_.limits.room_timeout)
+        return;
+    stop_waiting();
+    bufferevent_enable(stream_.get(), EV_READ);
+    refuse(status_unavailable, "no room for so large a body",
+           {{"Retry-After", "1"}});
+}
+
 // Behind the answers to earlier requests.
 void caller_connection::tell_to_go_on()
 {
@@ -202,13 +268,15 @@
 }
 
 // Answers of earlier requests still go out; what follows is not read.
-void caller_connection::refuse(int status, std::string_view reason)
+void caller_connection::refuse(int status, std::string_view reason,
+                               header_list headers)
 {
     end_.take_no_more();
     auto slot = std::make_unique<caller_slot>();
     const std::string body = std::string(reason) + '\n';
+    headers.push_back({"Content-Type", "text/plain"});
     slot->held = format_answer_head(
-        status, {{"Content-Type", "text/plain"}},
+        status, headers,
         "Content-Length: " + std::to_string(body.size()) + "\r\n", true);
     slot->held += body;
     slot->finished = true;
@@ -363,6 +431,7 @@
 {
     if (!end_.end())
         return;
+    stop_waiting();
     bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
     drop_slots();
     host_.ended(*this);
@@ -449,6 +518,10 @@
 {
     if (!end_.takes_requests() || !reader_.in_message())
         return;
+    if (host_.bodies.is_waiting(this)) {
+        check_waiting(now);
+        return;
+    }
     const auto taken = now - message_since_;
     if (!headers_read_ && taken > host_.limits.header_timeout)
         refuse(status_timeout, "the headers took too long");
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -187,6 +187,7 @@
     {
         host.loop = &loop;
         host.limits = limits;
+        host.bodies.set_bytes(limits.max_total_body_bytes);
         host.handle = std::move(handle);
         host.ended = [this](detail::caller_connection& each) { drop(each); };
         sweep.start_every(sweep_interval);
@@ -276,6 +277,7 @@
 void caller_server::set_limits(const caller_server_limits& limits)
 {
     state_->host.limits = limits;
+    state_->host.bodies.set_bytes(limits.max_total_body_bytes);
 }
 
 void caller_server::announce_close(bool announced)
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -728,4 +728,100 @@
     RC_ASSERT(s.server.in_flight() == 0u);
 }
 
+std::string upload_head(std::size_t bytes)
+{
+    return "POST /up HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+           std::to_string(bytes) + "\r\n\r\n";
+}
+
+caller_server_limits little_room()
+{
+    caller_server_limits limits;
+    limits.max_total_body_bytes = 300'000;
+    limits.room_timeout = 700ms;
+    return limits;
+}
+
+// A few uploads, each within its limit, exceeded the memory of a process.
+TEST(CallerServer, LargeBodiesWaitForRoomAndSmallRequestsDoNot)
+{
+    constexpr std::size_t size = 200'000;
+    served s(little_room());
+    auto first = s.connect();
+    auto second = s.connect();
+    auto small = s.connect();
+    first->send(upload_head(size) + std::string(size, 'x'));
+    s.await(1);
+    second->send(upload_head(size) + std::string(size, 'y'));
+    small->send("GET /small HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(2);
+    run_for(s.loop, 50ms);
+    ASSERT_EQ(s.requests.size(), 2u);
+    EXPECT_EQ(s.requests[1].target, "/small");
+    s.held[0]->reply(200, {}, "stored");
+    s.await(3);
+    EXPECT_EQ(s.requests[2].body, std::string(size, 'y'));
+    s.held[2]->reply(200, {}, "stored too");
+    s.await_text(*second, "stored too");
+}
+
+TEST(CallerServer, ABodyWithoutALengthWaitsForRoomToo)
+{
+    constexpr std::size_t size = 150'000;
+    auto limits = little_room();
+    limits.max_body_bytes = 200'000;
+    served s(limits);
+    auto first = s.connect();
+    first->send(upload_head(size) + std::string(size, 'x'));
+    s.await(1);
+    auto second = s.connect();
+    second->send("POST /up HTTP/1.1\r\nHost: a\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n249f0\r\n" +
+                 std::string(size, 'y') + "\r\n0\r\n\r\n");
+    run_for(s.loop, 100ms);
+    ASSERT_EQ(s.requests.size(), 1u);
+    s.held[0]->reply(200, {}, "stored");
+    s.await(2);
+    EXPECT_EQ(s.requests[1].body, std::string(size, 'y'));
+}
+
+TEST(CallerServer, ABodyThatFindsNoRoomIsRefusedAndNotRun)
+{
+    constexpr std::size_t size = 200'000;
+    served s(little_room());
+    auto first = s.connect();
+    first->send(upload_head(size) + std::string(size, 'x'));
+    s.await(1);
+    auto second = s.connect();
+    second->send(upload_head(size) + std::string(size, 'y'));
+    s.await_text(*second, "HTTP/1.1 503");
+    s.await_text(*second, "Retry-After");
+    EXPECT_EQ(s.requests.size(), 1u);
+    s.held[0]->reply(200, {}, "stored");
+    s.await_text(*first, "stored");
+}
+
+// Room that nobody uses any more must not be lost.
+TEST(CallerServer, CallersThatGoLeaveTheirRoomToOthers)
+{
+    constexpr std::size_t size = 200'000;
+    served s(little_room());
+    auto first = s.connect();
+    first->send(upload_head(size) + std::string(100'000, 'x'));
+    auto second = s.connect();
+    run_for(s.loop, 50ms);
+    second->send(upload_head(size) + std::string(size, 'y'));
+    run_for(s.loop, 50ms);
+    EXPECT_TRUE(s.requests.empty());
+    first.reset();
+    s.await(1);
+    EXPECT_EQ(s.requests[0].body, std::string(size, 'y'));
+    // The caller of a request that is being worked on goes, too.
+    second.reset();
+    run_for(s.loop, 50ms);
+    auto third = s.connect();
+    third->send(upload_head(size) + std::string(size, 'z'));
+    s.await(2);
+}
+
 } // namespace
