Let instances that join together come to know each other

Two instances of a small fleet that join at the same moment may each get a list of members without the other; heartbeats go to known members only, and the list is asked for once. They never hear of each other: readers and owners of rates too many.

Change: heartbeats of a small fleet bear the digest of the sender's view, as probes of a large one do; after eight that differ its list is asked for.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -37,7 +37,8 @@
 /// because one may be lost.
 constexpr duration repeat_delay = 300ms;
 /// After so many differing views of the members in a row, the list of members
-/// is requested from a peer; only from the own data centre, because it is long.
+/// is requested from a peer: two instances that join at the same moment may
+/// each have got a list without the other, and neither would ever hear of it.
 constexpr int max_differing_views = 8;
 constexpr duration view_request_interval = 5s;
 
@@ -247,11 +248,11 @@
 void peer_controller::send_heartbeat_once()
 {
     // In a large fleet few members send heartbeats, and to all peers; rate
-    // limits are sent with the probes there.
-    const auto heartbeat = make_heartbeat();
-    send_to_peers("heartbeat", cluster_.members.is_large()
-                                   ? json{{"heartbeat", to_json(heartbeat)}}
-                                   : with_limits(heartbeat));
+    // limits and views are sent with the probes there.
+    send_to_peers("heartbeat",
+                  cluster_.members.is_large()
+                      ? json{{"heartbeat", to_json(make_heartbeat())}}
+                      : with_limits(make_heartbeat_with_view()));
 }
 
 // A heartbeat message with some of the rate limits, which the peer may have
@@ -451,16 +452,21 @@
     }
     const bool due = ++differing_views_ >= max_differing_views &&
                      now >= view_requested_at_ + view_request_interval;
-    const auto* peer = cluster_.members.find_probed(heartbeat.name);
-    const bool is_local =
-        peer && peer->data_centre == cluster_.members.self().data_centre;
-    if (!due || !is_local || state_request_.is_pending())
+    const auto* peer = cluster_.members.find_live(heartbeat.name, now);
+    if (!due || !peer || !is_worth_asking(*peer) || state_request_.is_pending())
         return;
     view_requested_at_ = now;
     differing_views_ = 0;
     state_request_.start(*peer, true);
 }
 
+// The list of a large fleet is long, so that it stays in the data centre.
+bool peer_controller::is_worth_asking(const member& peer) const
+{
+    return !cluster_.members.is_large() ||
+           peer.data_centre == cluster_.members.self().data_centre;
+}
+
 // Only one reader writes the list to the store: the first by name.
 void peer_controller::store_member_list()
 {
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -110,6 +110,7 @@
     void read_store_if_incomplete();
     void on_state_request_finished(state_request_outcome outcome);
     void check_member_view(const member_heartbeat& heartbeat);
+    bool is_worth_asking(const member& peer) const;
     void store_member_list();
     member_heartbeat make_heartbeat() const;
     member_heartbeat make_heartbeat_with_view() const;
--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -71,6 +71,9 @@
     /// Whether it was declared dead and has not been heard from since.
     bool is_dead(const entry_id& name) const;
 
+    /// The member if it is live, else null.
+    const member* find_live(const entry_id& name, time_point now) const;
+
     /// The member if it is subject to probes and not declared dead, else null.
     const member* find_probed(const entry_id& name) const;
     std::vector<entry_id> probed_peers() const;
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -79,6 +79,15 @@
     return found != peers_.end() && found->second.dead_since;
 }
 
+const member* member_table::find_live(const entry_id& name,
+                                      time_point now) const
+{
+    const auto found = peers_.find(name);
+    return found != peers_.end() && is_live(found->second, now)
+               ? &found->second.who
+               : nullptr;
+}
+
 const member* member_table::find_probed(const entry_id& name) const
 {
     const auto found = peers_.find(name);
--- a/test/platform/test_router.py
+++ b/test/platform/test_router.py
@@ -13,6 +13,8 @@
 from caller import ask_directory, get  # noqa: E402
 from fleet import FILES, LOOKUP, ORDER, Route, run  # noqa: E402
 
+KNOWN_S = 10.0  # until all instances know each other
+
 
 def test_requests_of_all_kinds_are_served():
     async def scenario(fleet):
@@ -252,6 +254,28 @@
     run(scenario, routers=9)
 
 
+# Two that joined at the same moment each got a list without the other, and
+# never heard of it: there were readers too many, and owners of rates differed.
+def test_routers_that_start_together_come_to_know_each_other():
+    async def scenario(fleet):
+        known = {}
+        until = time.monotonic() + KNOWN_S
+        while time.monotonic() < until:
+            known = {r.name: await count_peers(r) for r in fleet.routers}
+            if set(known.values()) == {len(fleet.routers) - 1}:
+                return
+            await asyncio.sleep(0.5)
+        raise AssertionError(known)
+
+    for _ in range(3):
+        run(scenario, routers=12)
+
+
+async def count_peers(router):
+    answer = await get(router.settings["query_address"], "/v1/status")
+    return len(json.loads(answer.body)["peers"])
+
+
 def test_a_router_that_is_stopped_loses_no_request():
     async def scenario(fleet):
         for target in fleet.targets:
