Hold the replay of guilty requests to the stated goals

Cause: found while reading the change.

Ruled out: keeping the looser bounds beside a note.

One constant gets its reason, another a name of its own.

--- a/apps/router/peers/crash_relay.cpp
+++ b/apps/router/peers/crash_relay.cpp
@@ -16,8 +16,8 @@
 constexpr const char* release_field = "crash_release";
 constexpr const char* held_field = "crashes";
 constexpr int max_reports_per_second = 50;
-/// Of one message, whoever sends it.
-constexpr std::size_t max_held_reports = 64;
+/// Bound on what is taken from one message.
+constexpr std::size_t max_reports_in_message = 64;
 /// After which a report is sent again: one may be lost.
 constexpr duration repeat_delay = 50ms;
 
@@ -103,7 +103,7 @@
     if (!message.contains(held_field))
         return;
     const auto& reports = message.at(held_field);
-    if (!reports.is_array() || reports.size() > max_held_reports)
+    if (!reports.is_array() || reports.size() > max_reports_in_message)
         throw error("read crash reports", "", "not a list, or too many");
     for (const auto& each : reports)
         handlers_.on_report(parse_crash_report(each), peer);
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -50,6 +50,12 @@
   set_tests_properties(late_changes_${name} PROPERTIES
     ENVIRONMENT "GTEST_FILTER=${filter}" TIMEOUT 300)
 endforeach()
+# Goals that are not reached run as a test of their own.
+set_tests_properties(crash_suspects PROPERTIES
+  ENVIRONMENT "GTEST_FILTER=-CrashGoals.*")
+add_test(NAME crash_suspects_goals COMMAND test_crash_suspects)
+set_tests_properties(crash_suspects_goals PROPERTIES
+  ENVIRONMENT "GTEST_FILTER=CrashGoals.*")
 target_sources(test_explain PRIVATE
   apps/explain/explanation.cpp apps/explain/log_reader.cpp)
 target_include_directories(test_explain PRIVATE apps/explain)
--- a/src/attempts/crash_suspects.cpp
+++ b/src/attempts/crash_suspects.cpp
@@ -20,6 +20,7 @@
 /// Without a further end a request is forgotten after this time, or after its
 /// hold if that is longer.
 constexpr duration memory = 30s;
+/// With the spread, a request that has been mended is served again within 10 s.
 constexpr duration shortest_hold = 8500ms;
 constexpr duration longest_hold = 60s;
 /// Times of different instances are drawn from so much more than the hold.
--- a/test/crash_suspects.cpp
+++ b/test/crash_suspects.cpp
@@ -353,27 +353,48 @@
     }
 }
 
-TEST(CrashSuspects, TwoGuiltyRequestsAtOnceEndFewTargetsEach)
+// The goals for one request: 4 targets on a small site, 6 on larger ones.
+constexpr std::size_t small_goal = 4;
+constexpr std::size_t large_goal = 6;
+
+TEST(CrashGoals, AGuiltyRequestEndsAtMostFourTargetsOfASmallFleet)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        replay small({}, seed);
+        small.run();
+        EXPECT_LE(small.ended_by_guilty, small_goal) << "seed " << seed;
+    }
+}
+
+TEST(CrashGoals, TwoGuiltyRequestsAtOnceEndAtMostFourTargetsEach)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         replay both({.guilty_per_second = 3, .guilty_requests = 2}, seed);
         both.run();
-        EXPECT_LE(both.ended_by_guilty, 12u) << "seed " << seed;
-        EXPECT_LE(both.refused, both.asked / 100);
+        EXPECT_LE(both.ended_by_guilty, 2 * small_goal) << "seed " << seed;
     }
 }
 
-TEST(CrashSuspects, AGuiltyRequestEndsFewTargetsOfALargeFleet)
+TEST(CrashGoals, AGuiltyRequestEndsAtMostSixTargetsOfALargeFleet)
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed)
         for (const std::size_t size : {30u, 189u}) {
             replay large({.instances = size, .guilty_per_second = 10}, seed);
             large.run();
-            EXPECT_LE(large.ended_by_guilty, 10u)
+            EXPECT_LE(large.ended_by_guilty, large_goal)
                 << size << " instances, seed " << seed;
         }
 }
 
+TEST(CrashSuspects, TwoGuiltyRequestsAtOnceHoldBackHardlyAnythingElse)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        replay both({.guilty_per_second = 3, .guilty_requests = 2}, seed);
+        both.run();
+        EXPECT_LE(both.refused, both.asked / 100) << "seed " << seed;
+    }
+}
+
 TEST(CrashSuspects, AMendedRequestIsServedWithinTenSeconds)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
