Keep the load of a test within what its one good target serves

Two faults of the test. Five of six targets do not answer probes, so one is left, which serves 100 requests a second; 12 callers asked for 104. And a target whose probes have failed in a row is not probed for 2.4 s, while each form is played for 1.5 s: "unproven body" was at times never asked for.

Ruled out: a fault of the router. A play of each form with 12 callers has 144 to 150 answers (98 a second) and 6 to 12 refusals "all targets are full" in every form, 0.923 to 0.960 served, close to the bound of 0.9; with 6 callers none is refused, 1.000 in all eleven forms, beside the same load.

Change: 6 callers, and the bound rises from 0.9 to 0.97; the load goes on until a bad target has been probed, 4 s at most. The other checks stand.

Conclusion: the test asked for more than its fleet can serve. The router is as it was.

--- a/test/platform/test_endless.py
+++ b/test/platform/test_endless.py
@@ -15,6 +15,10 @@
 LATE_S = 0.5  # beyond the route's time-out, as the users' rules allow
 # Of one process, with a dozen requests and all their answers in flight.
 MAX_MEMORY_MIB = 120
+# A target whose probes have failed in a row is not probed for 2.4 s.
+MAX_UNPROBED_S = 4.0
+# Ask for less than the 100 requests a second that one target serves.
+FEW_CALLERS = 6
 CHUNKED = ("HTTP/1.1 200 X\r\n%s: {0}\r\n%s: x\r\n"
            "Transfer-Encoding: chunked\r\n\r\n" % (ID, SEAL))
 FORMS = {  # what begins an answer, and what then comes again and again
@@ -158,9 +162,12 @@
                 for target in bad:
                     answer_probes_without_end(target, form)
                 began = time.monotonic()
-                await fleet.load(1.5, routes=[LOOKUP])
+                await fleet.load(1.5, FEW_CALLERS, routes=[LOOKUP])
+                while not any(target.begun for target in bad) and \
+                        time.monotonic() < began + MAX_UNPROBED_S:
+                    await fleet.load(0.3, FEW_CALLERS, routes=[LOOKUP])
                 assert resident_mib(router) < MAX_MEMORY_MIB, form
-                assert fleet.truth.served(began) > 0.9, form
+                assert fleet.truth.served(began) > 0.97, form
                 for target in bad:
                     vars(target).pop("_answer_health")
                 await asyncio.sleep(LATE_S)
