Let requests wait while one like them is repeated after an end

So other callers' requests went out while the first one was repeated; and an instance that missed the one message that told of a trial made one of its own beside it.

Change: crash_suspects::takes_turn. While one target has ended under a request, those like it wait, at all instances, until one is answered, 250 ms a turn and 500 ms in all at most, never beyond the time that leaves them in time. A new stage of request_task, no refusal. News of trials and releases goes out twice. Metric vanillapost_turn_waits_total.

All bounds stand, one is new: 5 ms of waiting for each popular request at most. The stand-in that ends its targets moved from test_crashes.py to deadly.py.

--- a/apps/router/peers/crash_relay.cpp
+++ b/apps/router/peers/crash_relay.cpp
@@ -18,7 +18,7 @@
 constexpr int max_reports_per_second = 50;
 /// Bound on what is taken from one message.
 constexpr std::size_t max_reports_in_message = 64;
-/// After which a report is sent again: one may be lost.
+/// After which a message is sent again: one may be lost.
 constexpr duration repeat_delay = 50ms;
 
 } // namespace
@@ -43,7 +43,11 @@
 {
     if (!may_tell())
         return;
-    json message = {{report_field, to_json(report)}};
+    send_twice({{report_field, to_json(report)}});
+}
+
+void crash_relay::send_twice(json message)
+{
     send_to_all_(message);
     if (to_repeat_.empty())
         repeat_timer_.start_once(repeat_delay);
@@ -58,14 +62,14 @@
 
 void crash_relay::tell_trial(const std::string& request)
 {
-    send_to_all_({{trial_field, request}});
+    send_twice({{trial_field, request}});
 }
 
 void crash_relay::tell_release(const std::string& request)
 {
     if (!may_tell())
         return;
-    send_to_all_({{release_field, request}});
+    send_twice({{release_field, request}});
 }
 
 void crash_relay::add_to(json& hello) const
--- a/apps/router/peers/crash_relay.hpp
+++ b/apps/router/peers/crash_relay.hpp
@@ -25,9 +25,9 @@
 /// targets are counted over the whole deployment.
 ///
 /// Few are told a second: the end of one target accuses what was in flight
-/// there, and what is guilty is reported again with the next target. Each is
-/// told twice, as one may be lost. An instance that starts is told with the
-/// first message that it gets.
+/// there, and what is guilty is reported again with the next target. All news
+/// goes out twice, as a message may be lost. An instance that starts is told
+/// with the first message that it gets.
 class crash_relay
 {
 public:
@@ -61,6 +61,7 @@
 
 private:
     bool may_tell();
+    void send_twice(nlohmann::json message);
     void repeat();
 
     io::event_loop& loop_;
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -74,6 +74,10 @@
       crash_reports_(make_counters(
           registry_, "vanillapost_crash_reports_total",
           "Requests under which a target ended, by what becomes of them")),
+      turn_waits_(make_counters(registry_, "vanillapost_turn_waits_total",
+                                "Requests that waited for the result of one "
+                                "like them, under which a target ended")
+                      .Add({})),
       unrouted_(make_counters(registry_, "vanillapost_unrouted_requests_total",
                               "Requests for which no route is known")
                     .Add({})),
@@ -188,6 +192,11 @@
         .Increment();
 }
 
+void router_metrics::count_turn_wait()
+{
+    turn_waits_.Increment();
+}
+
 void router_metrics::count_bad_answer(io::answer_fault fault)
 {
     const auto* kind =
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -49,6 +49,9 @@
     /// Counts news of a target that ended under a request.
     /// \param held  whether that request is held back now
     void count_crash_report(bool held);
+    /// Counts a request that waits until one like it, under which a target may
+    /// have ended, has its result.
+    void count_turn_wait();
     void count_unrouted();
     /// Counts a callback of the event loop that has thrown.
     void count_callback_failure();
@@ -113,6 +116,7 @@
     prometheus::Family<prometheus::Counter>& rate_limits_;
     prometheus::Family<prometheus::Counter>& bad_answers_;
     prometheus::Family<prometheus::Counter>& crash_reports_;
+    prometheus::Counter& turn_waits_;
     prometheus::Counter& unrouted_;
     prometheus::Counter& callback_failures_;
     prometheus::Family<prometheus::Counter>& unreadable_rows_;
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -21,6 +21,9 @@
 constexpr double check_interval_share = 0.25;
 constexpr duration min_check_interval = 25ms;
 constexpr int max_checks = 10;
+/// Suspicion after a single end is weak, so a request waits no longer for the
+/// result of another.
+constexpr duration max_turn_wait = 500ms;
 /// A new attempt is expected to take this many times its work on an idle
 /// target.
 constexpr double new_attempt_factor = 1.1;
@@ -42,9 +45,9 @@
       is_relayed_(request.is_relayed),
       claimed_(!request.idempotency_key.empty()), service_(std::move(service)),
       tracker_(may_repeat(rule_.kind), rule_.max_attempts),
-      arrived_(request.arrived), timer_(context.loop, [this] {
-          guard("check request timers", [this] { on_timer(); });
-      })
+      arrived_(request.arrived), placeable_since_(request.arrived),
+      timer_(context.loop,
+             [this] { guard("check request timers", [this] { on_timer(); }); })
 {
     set_deadlines(request.time_left);
     if (context.shutdown)
@@ -130,6 +133,10 @@
         give_up_held();
         return;
     }
+    if (!may_take_turn()) {
+        wait_for_turn();
+        return;
+    }
     if (context_.cluster.is_cut_off() && relay()) {
         arm_timer();
         return;
@@ -140,6 +147,32 @@
         arm_timer();
 }
 
+// The request that was in flight when its target ended is repeated at once;
+// others like it wait, so that a harmful one ends no target for each of them.
+bool request_task::may_take_turn()
+{
+    const bool is_first = tracker_.started() == 0 && !is_trial_;
+    if (!is_first || has_turn_ || !is_suspected())
+        return true;
+    const auto now = context_.loop.now();
+    const auto work = context_.statistics.expected_work(rule_);
+    const auto latest = std::min(arrived_ + max_turn_wait, objective_ - work);
+    has_turn_ = now >= latest || context_.crashes.suspects().takes_turn(
+                                     identity_of(request_), now);
+    if (has_turn_)
+        placeable_since_ = now;
+    return has_turn_;
+}
+
+void request_task::wait_for_turn()
+{
+    if (state_ != stage::queued)
+        context_.metrics.count_turn_wait();
+    state_ = stage::queued;
+    retry_placement_at_ = context_.loop.now() + recheck_interval;
+    arm_timer();
+}
+
 void request_task::follow(const placement_decision& decision)
 {
     if (const auto* chosen = std::get_if<place_on>(&decision)) {
@@ -168,7 +201,7 @@
 void request_task::wait_for_slot(const retry_after_estimate& estimate)
 {
     const auto now = context_.loop.now();
-    const auto waits_until = arrived_ + waiting_limit();
+    const auto waits_until = placeable_since_ + waiting_limit();
     if (context_.cluster.placer.usable_targets(service_) == 0) {
         give_up(status_bad_gateway, "no target can be used", estimate);
         return;
@@ -191,8 +224,7 @@
         return;
     }
     state_ = stage::waiting;
-    retry_placement_at_ =
-        std::min(now + recheck_interval, arrived_ + waiting_limit());
+    retry_placement_at_ = std::min(now + recheck_interval, waits_until);
     probe_rounds_ = 0;
     probe_deadline_ = {};
 }
@@ -306,7 +338,7 @@
         resume_streams();
     if (state_ == stage::probing && now >= probe_deadline_)
         place();
-    else if (state_ == stage::waiting && now >= retry_placement_at_)
+    else if (is_waiting() && now >= retry_placement_at_)
         place();
     else if (state_ == stage::running && now >= next_check_at_)
         check_running_attempt();
@@ -334,7 +366,7 @@
     next = std::min(next, resume_at_);
     if (state_ == stage::probing)
         next = std::min(next, probe_deadline_);
-    else if (state_ == stage::waiting)
+    else if (is_waiting())
         next = std::min(next, retry_placement_at_);
     else if (state_ == stage::running)
         next = std::min(next, next_check_at_);
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -61,6 +61,7 @@
     {
         probing, ///< waits for probes before the next attempt
         waiting, ///< waits for a free slot
+        queued,  ///< waits until one like it, under suspicion, has ended
         running, ///< attempts are in flight, none is being placed
         ended
     };
@@ -98,6 +99,8 @@
     duration check_delay() const;
     placement_request make_placement_request() const;
     void probe_targets(const std::vector<target_id>& targets);
+    bool may_take_turn();
+    void wait_for_turn();
     void wait_for_slot(const retry_after_estimate& estimate);
     void send(const place_on& place, bool hedge);
     bool relay();
@@ -113,6 +116,10 @@
     void resume_streams();
     void process_end(attempt& from);
     void suspect_crash(const attempt& from);
+    bool is_waiting() const
+    {
+        return state_ == stage::waiting || state_ == stage::queued;
+    }
     bool is_held() const;
     bool is_suspected() const;
     void give_up_held();
@@ -153,14 +160,16 @@
     io::http_request request_;
     std::string id_;
     route rule_;
-    bool is_trial_;        ///< sent although requests like it are held back
-    bool is_relayed_;      ///< a peer sent it, so it is not relayed again
-    bool relayed_ = false; ///< a peer may have run it
-    bool claimed_;         ///< under a claim, which needs the result
+    bool is_trial_;         ///< sent although requests like it are held back
+    bool has_turn_ = false; ///< of the suspected requests like it
+    bool is_relayed_;       ///< a peer sent it, so it is not relayed again
+    bool relayed_ = false;  ///< a peer may have run it
+    bool claimed_;          ///< under a claim, which needs the result
     service_id service_;
     attempt_tracker tracker_;
     stage state_ = stage::probing;
     time_point arrived_{};
+    time_point placeable_since_{}; ///< its arrival, or when its turn came
     time_point deadline_{};
     time_point objective_{}; ///< latest time for an answer to be in time
     time_point probe_deadline_{};
--- a/include/vanillapost/src/attempts/crash_suspects.hpp
+++ b/include/vanillapost/src/attempts/crash_suspects.hpp
@@ -73,6 +73,11 @@
     /// time is over, one is let through.
     crash_admission admit(std::string_view request, time_point now);
 
+    /// While one target has ended under a request, one like it is sent at a
+    /// time: whether it is this one's turn. The first turn is that of the
+    /// request itself, which is repeated.
+    bool takes_turn(std::string_view request, time_point now);
+
     /// Whether it has been held back, until now or until its latest trial.
     bool was_held(std::string_view request) const;
 
@@ -122,6 +127,7 @@
         std::size_t ends = 0;
         time_point last_accused{};
         time_point held_until{};
+        time_point turn_until{}; ///< of the one that is sent meanwhile
     };
 
     struct lost_connection
--- a/test/crash_suspects.cpp
+++ b/test/crash_suspects.cpp
@@ -79,6 +79,43 @@
     EXPECT_TRUE(admits(suspects, "guilty", later + 200ms));
 }
 
+// Several in flight at once ended a target each before the second end was
+// known.
+TEST(CrashSuspects, OneThatIsSuspectedIsSentAtATime)
+{
+    crash_suspects suspects(1);
+    EXPECT_TRUE(suspects.takes_turn("suspected", start));
+    end_target(suspects, "suspected", "t1", start);
+    // The one that was in flight is repeated.
+    EXPECT_FALSE(suspects.takes_turn("suspected", start + 10ms));
+    EXPECT_TRUE(suspects.takes_turn("other", start + 10ms));
+    EXPECT_TRUE(suspects.takes_turn("suspected", start + 300ms));
+    EXPECT_FALSE(suspects.takes_turn("suspected", start + 301ms));
+    suspects.release("suspected");
+    EXPECT_TRUE(suspects.takes_turn("suspected", start + 302ms));
+}
+
+TEST(CrashSuspects, WhatAPeerSawSuspectedWaitsForThePeer)
+{
+    crash_suspects suspects(1);
+    suspects.on_peer_report({"suspected", "t1", start_unix_ms, {}}, start);
+    EXPECT_FALSE(suspects.takes_turn("suspected", start + 10ms));
+    // News that comes late holds nobody up.
+    suspects.on_peer_report({"late", "t1", start_unix_ms, 1s}, start);
+    EXPECT_TRUE(suspects.takes_turn("late", start + 10ms));
+}
+
+// Others in flight beside it explain nothing, so their turns would take long.
+TEST(CrashSuspects, WhatAnotherRequestExplainsWaitsForNoTurn)
+{
+    crash_suspects suspects(1);
+    end_target(suspects, "guilty", "t1", start);
+    end_target(suspects, "innocent", "t1", start);
+    EXPECT_FALSE(suspects.takes_turn("innocent", start + 1ms));
+    end_target(suspects, "guilty", "t2", start + 2ms);
+    EXPECT_TRUE(suspects.takes_turn("innocent", start + 3ms));
+}
+
 TEST(CrashSuspects, WhatPeersSawCountsLikeOwnSight)
 {
     crash_suspects here(1);
@@ -165,6 +202,7 @@
     std::size_t refused_popular = 0;
     std::size_t asked = 0;
     std::size_t asked_popular = 0;
+    duration waited_popular{};              ///< for turns, all of them together
     std::optional<time_point> served_again; ///< a guilty one, after its mend
 
 private:
@@ -175,6 +213,10 @@
     static constexpr duration until_end = 60ms;
     static constexpr duration until_refusal = 4ms;
     static constexpr duration down = 3s;
+    static constexpr duration latency = 2ms;      ///< between instances
+    static constexpr duration repeat_news = 50ms; ///< as `crash_relay` does
+    static constexpr duration recheck = 10ms;     ///< of one that waits
+    static constexpr duration max_wait = 500ms;
 
     struct flight
     {
@@ -229,11 +271,12 @@
         return request.starts_with("mended:") ? request.substr(7) : request;
     }
 
-    void send(std::size_t at, const std::string& request, int attempt)
+    void send(std::size_t at, const std::string& request, int attempt,
+              duration waited = {})
     {
         auto& instance = instances_[at];
         const auto name = identity(request);
-        if (attempt == 0)
+        if (attempt == 0 && waited == duration::zero())
             count_asked(request);
         if (settings_.holds_back) {
             const auto admission = attempt == 0 ? instance.admit(name, now_)
@@ -245,9 +288,19 @@
                 return;
             }
             if (admission == crash_admission::trial)
-                tell([name](auto& peer, auto now) {
+                tell_twice([name](auto& peer, auto now) {
                     peer.on_peer_trial(name, now);
                 });
+            const bool waits = admission == crash_admission::allowed &&
+                               attempt == 0 && waited < max_wait &&
+                               !instance.takes_turn(name, now_);
+            if (waits) {
+                waited_popular += request == "popular" ? recheck : 0ms;
+                after(recheck, [this, at, request, waited] {
+                    send(at, request, 0, waited + recheck);
+                });
+                return;
+            }
         }
         auto number = random_() % target_count;
         for (int i = 0; i < 100 && targets_[number].up_at > now_; ++i)
@@ -271,7 +324,7 @@
         if (name != sent.request)
             served_again = served_again.value_or(now_);
         if (instances_[sent.instance].release(name))
-            tell([name](auto& peer, auto) { peer.release(name); });
+            tell_twice([name](auto& peer, auto) { peer.release(name); });
     }
 
     void end_target(std::size_t number)
@@ -299,17 +352,25 @@
     {
         for (const auto& report :
              instances_[at].on_connection_refused(target, now_))
-            tell([report](auto& peer, auto now) {
+            tell_twice([report](auto& peer, auto now) {
                 peer.on_peer_report(report, now);
             });
     }
 
     template <class Message>
-    void tell(Message message)
+    void tell(Message message, duration delay = {})
     {
         for (auto& peer : instances_)
             if (draw() >= settings_.loss)
-                after(2ms, [this, &peer, message] { message(peer, now_); });
+                after(delay + latency,
+                      [this, &peer, message] { message(peer, now_); });
+    }
+
+    template <class Message>
+    void tell_twice(Message message)
+    {
+        tell(message);
+        tell(message, repeat_news);
     }
 
     void count_asked(const std::string& request)
@@ -417,6 +478,9 @@
                 << rate << " a second, seed " << seed;
             EXPECT_LE(crashes.refused_popular, crashes.asked_popular / 20)
                 << rate << " a second, seed " << seed;
+            // Less than 5 ms for each.
+            EXPECT_LE(crashes.waited_popular, 5ms * crashes.asked_popular)
+                << rate << " a second, seed " << seed;
         }
 }
 
--- a/test/platform/proxy.py
+++ b/test/platform/proxy.py
@@ -73,6 +73,11 @@
         self._to = to
         await self._server.start("127.0.0.1")
 
+    async def start_again(self):
+        """At the address that it had."""
+        ip, _, port = self.address.rpartition(":")
+        await self._server.start(ip, int(port))
+
     async def stop(self):
         await self._server.stop()
 
--- a/test/platform/target.py
+++ b/test/platform/target.py
@@ -108,6 +108,11 @@
         self.cold_until = time.monotonic() + cold_s
         self.listed_address = self.listed_address or self.address
 
+    async def start_again(self):
+        """At the address that it had."""
+        ip, _, port = self.address.rpartition(":")
+        await self._server.start(ip, int(port))
+
     async def stop(self):
         await self._server.stop()
 
@@ -275,6 +280,8 @@
                                    f"{len(self._recent)} in a second")
 
     async def _answer(self, request, attempt_id, writer):
+        if self._truth.deadly and self._truth.deadly.meets(request):
+            return await self._truth.deadly.end(self)
         if self._random.random() < self.lose:
             wire.close(writer, reset=True)
             return False
--- a/test/platform/test_crashes.py
+++ b/test/platform/test_crashes.py
@@ -10,45 +10,16 @@
 
 import wire  # noqa: E402
 from caller import DEADLINE  # noqa: E402
+from deadly import MOST_ENDED, Deadly  # noqa: E402
 from fleet import LOOKUP, Fleet  # noqa: E402
 from target import ID  # noqa: E402
 
 GUILTY = LOOKUP.prefix + "guilty"
-DOWN_S = 2.0  # until the platform starts an ended target again
-MOST_ENDED = 4  # the goal for one request, over the whole deployment
 
 
-class Crashes:
-    """Ends the target of each guilty request, and starts it again."""
-
-    def __init__(self, fleet):
-        self.ended = []
-        self.mended = False
-        self._tasks = set()
-        for target in fleet.targets_of("stock"):
-            self._watch(target)
-
-    def _watch(self, target):
-        answer = target._answer
-
-        async def end_or_answer(request, attempt_id, writer):
-            if request.target != GUILTY or self.mended:
-                return await answer(request, attempt_id, writer)
-            self.ended.append((time.monotonic(), target.id))
-            task = asyncio.create_task(self._end(target))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            return False
-
-        target._answer = end_or_answer
-
-    async def _end(self, target):
-        ip, _, port = target.address.rpartition(":")
-        await target.stop()
-        await asyncio.sleep(DOWN_S)
-        target.begin_anew()
-        await target._server.start(ip, int(port))
-        await target.list_itself()
+def play_deadly(fleet):
+    fleet.truth.deadly = Deadly(GUILTY, fleet.proxies, set())
+    return fleet.truth.deadly
 
 
 async def ask_once(fleet, router, attempt_id):
@@ -119,7 +90,7 @@
         async with Fleet(targets_per_zone=4) as fleet:
             await fleet.wait_ready()
             await asyncio.sleep(1)
-            crashes = Crashes(fleet)
+            crashes = play_deadly(fleet)
             began = time.monotonic()
             guilty = asyncio.create_task(ask_for_guilty(fleet, began + 6))
             await fleet.load(6, routes=[LOOKUP])
@@ -141,7 +112,7 @@
     async def scenario():
         async with Fleet(targets_per_zone=4) as fleet:
             await fleet.wait_ready()
-            crashes = Crashes(fleet)
+            crashes = play_deadly(fleet)
             await ask_until_held(fleet)
             await asyncio.sleep(0.2)
             before = len(crashes.ended)
@@ -161,7 +132,7 @@
     async def scenario():
         async with Fleet(targets_per_zone=4) as fleet:
             await fleet.wait_ready()
-            crashes = Crashes(fleet)
+            crashes = play_deadly(fleet)
             await ask_until_held(fleet)
             await asyncio.sleep(0.2)
             crashes.mended = True
@@ -186,7 +157,7 @@
         async with Fleet(targets_per_zone=4) as fleet:
             await fleet.wait_ready()
             await asyncio.sleep(1)
-            crashes = Crashes(fleet)
+            crashes = play_deadly(fleet)
             load = asyncio.create_task(fleet.load(4, routes=[LOOKUP]))
             await asyncio.sleep(1)
             for number in range(3):
@@ -198,3 +169,58 @@
             await load
 
     asyncio.run(scenario())
+
+
+class OneEnd:
+    """One target ends under the request; the others take their time for it."""
+
+    WORK_S = 0.15
+
+    def __init__(self, fleet):
+        self.deadly = play_deadly(fleet)
+        self.running = 0
+        self.most_running = 0  # until the first answer
+        self.answered = False
+        for target in fleet.targets_of("stock"):
+            self._watch(target)
+
+    def _watch(self, target):
+        answer = target._answer
+
+        async def answer_late(request, attempt_id, writer):
+            self.deadly.mended = len(self.deadly.ended) > 0
+            if request.target != GUILTY or not self.deadly.mended:
+                return await answer(request, attempt_id, writer)
+            self.running += 1
+            if not self.answered:
+                self.most_running = max(self.most_running, self.running)
+            await asyncio.sleep(self.WORK_S)
+            self.running -= 1
+            self.answered = True
+            return await answer(request, attempt_id, writer)
+
+        target._answer = answer_late
+
+
+# While one was repeated, each caller of another router ended a target too.
+def test_others_wait_while_a_suspected_request_is_repeated():
+    async def scenario():
+        async with Fleet(targets_per_zone=4) as fleet:
+            await fleet.wait_ready()
+            await asyncio.sleep(1)
+            crash = OneEnd(fleet)
+            first = asyncio.create_task(
+                ask_once(fleet, fleet.routers[0], "first"))
+            while not crash.running:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.03)
+            others = await asyncio.gather(*[
+                ask_once(fleet, router, f"other-{number}-{i}")
+                for number in range(2)
+                for i, router in enumerate(fleet.routers)])
+            assert (await first).status == 200
+            assert {each.status for each in others} == {200}, others
+            assert crash.most_running == 1, crash.most_running
+            assert len(crash.deadly.ended) == 1
+
+    asyncio.run(scenario())
--- a/test/platform/truth.py
+++ b/test/platform/truth.py
@@ -42,6 +42,7 @@
         self.evacuations = []  # [data centre, acknowledged, taken back]
         self.runs = defaultdict(list)
         self.violations = []
+        self.deadly = None  # a request that ends its targets, if one is played
         self._ratio = ratio
         self._allowance = allowance
         self._window_s = window_s
