Reset a connection that ends in the middle of an answer without a length

What callers saw: half a file that looked whole (HTTP/1.0, no length), where the process ended or the caller's reading stalled.

Cause: only an answer that its owner broke off was reset, at its turn. The server's end, a stall and a failed callback went through end(), which closes in order.

Ruled out: chunked answers and those with a length, which show that bytes lack.

Change: end() resets a connection that has begun such an answer and still holds bytes of it, or waits for more.

Conclusion: each way in which a connection ends tells its caller the truth.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -110,7 +110,7 @@
     bool has_unread() const;
     bool is_idle() const;
     std::size_t pending_output() const;
-    void reset();
+    void reset_instead_of_closing();
     void check_reading(time_point now);
     void note_idle();
     void tell_to_go_on();
@@ -133,9 +133,10 @@
     bool wants_go_on_ = false; ///< its caller waits before it sends the body
     bool reading_ = false;
     connection_end end_;
-    time_point message_since_{}; ///< its first byte
-    time_point heard_{};         ///< last bytes of a request
-    time_point written_{};       ///< last progress of the output
+    bool ends_an_answer_ = false; ///< one without a length has begun
+    time_point message_since_{};  ///< its first byte
+    time_point heard_{};          ///< last bytes of a request
+    time_point written_{};        ///< last progress of the output
     time_point idle_since_{};
     duration idle_limit_{}; ///< in force when it became idle
     time_point closing_since_{};
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -301,6 +301,7 @@
     if (end_.on_answer_begins(host_.phase, load()))
         set_last();
     slot.begun = true;
+    ends_an_answer_ = ends_an_answer_ || slot.until_close;
     // An answer without a length ends with its connection.
     if (!slot.keep_alive)
         end_.take_no_more();
@@ -327,7 +328,7 @@
     while (!slots_.empty()) {
         auto& front = *slots_.front();
         if (front.broken && front.until_close) {
-            reset();
+            break_off();
             return;
         }
         if (front.broken) {
@@ -416,7 +417,7 @@
 }
 
 // An orderly end would make an answer look complete that has no length.
-void caller_connection::reset()
+void caller_connection::reset_instead_of_closing()
 {
     const struct ::linger at_once
     {
@@ -424,13 +425,15 @@
     };
     ::setsockopt(bufferevent_getfd(stream_.get()), SOL_SOCKET, SO_LINGER,
                  &at_once, sizeof at_once);
-    break_off();
 }
 
 void caller_connection::end()
 {
     if (!end_.end())
         return;
+    const bool is_whole = slots_.empty() && pending_output() == 0;
+    if (ends_an_answer_ && !is_whole)
+        reset_instead_of_closing();
     stop_waiting();
     bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
     drop_slots();
--- a/test/endless.cpp
+++ b/test/endless.cpp
@@ -227,4 +227,69 @@
     ::close(socket);
 }
 
+/// Asks in HTTP/1.0, whose answers have no chunks.
+int connect_old_caller(const address& where)
+{
+    auto target = detail::to_socket_address(where);
+    const auto socket = ::socket(target.get()->sa_family, SOCK_STREAM, 0);
+    const int window = 16 * 1024;
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    EXPECT_EQ(::connect(socket, target.get(), target.length), 0);
+    const std::string_view request = "GET / HTTP/1.0\r\n\r\n";
+    EXPECT_GT(::send(socket, request.data(), request.size(), 0), 0);
+    return socket;
+}
+
+bool ends_in_a_reset(int socket)
+{
+    std::string bytes(64 * 1024, ' ');
+    ssize_t got = 0;
+    do
+        got = ::recv(socket, bytes.data(), bytes.size(), 0);
+    while (got > 0);
+    return got == -1 && errno == ECONNRESET;
+}
+
+// The end of a process closed the connection in order, and a half answer looked
+// whole.
+TEST(Endless, AnAnswerWithoutALengthIsResetWhenTheServerEnds)
+{
+    event_loop loop;
+    std::unique_ptr<caller_exchange> held;
+    auto server = std::make_unique<caller_server>(
+        loop, caller_server_limits{}, [&](auto exchange) {
+            held = std::move(exchange);
+            held->begin(200, {}, std::nullopt);
+            held->write("some");
+        });
+    const auto socket = connect_old_caller(server->listen(any_port));
+    run_until(loop, [&] { return held != nullptr; });
+    run_for(loop, 20ms);
+    server.reset();
+    run_for(loop, 20ms);
+    EXPECT_TRUE(ends_in_a_reset(socket));
+    ::close(socket);
+}
+
+// All of it was there, but its caller had not read it.
+TEST(Endless, AnAnswerWithoutALengthThatIsUnreadIsResetWhenTheServerEnds)
+{
+    event_loop loop;
+    bool answered = false;
+    auto server = std::make_unique<caller_server>(
+        loop, caller_server_limits{}, [&](auto exchange) {
+            exchange->begin(200, {}, std::nullopt);
+            exchange->write(std::string(8 * 1024 * 1024, 'x'));
+            exchange->finish();
+            answered = true;
+        });
+    const auto socket = connect_old_caller(server->listen(any_port));
+    run_until(loop, [&] { return answered; });
+    run_for(loop, 20ms);
+    server.reset();
+    run_for(loop, 20ms);
+    EXPECT_TRUE(ends_in_a_reset(socket));
+    ::close(socket);
+}
+
 } // namespace
