Deliver the last answer to a slow caller that goes on sending

Cause: a connection whose own side is shut down was closed after 1 s. The rest of the answer was in the kernel; bytes that arrive behind a close are answered with a reset, which drops it.

Ruled out: output of the process, all of which was written by then; callers that send nothing more, which the kernel serves after the close as well.

Change: the second counts from the delivery of the last byte (SIOCOUTQ). Until then the stall time-out bounds it, anew with each byte taken.

Conclusion: an answer that was begun arrives where its caller reads at all.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -111,6 +111,8 @@
     bool is_idle() const;
     std::size_t pending_output() const;
     void reset_instead_of_closing();
+    void check_delivery(time_point now);
+    int undelivered_bytes() const;
     void check_reading(time_point now);
     void note_idle();
     void tell_to_go_on();
@@ -138,8 +140,9 @@
     time_point heard_{};          ///< last bytes of a request
     time_point written_{};        ///< last progress of the output
     time_point idle_since_{};
-    duration idle_limit_{}; ///< in force when it became idle
-    time_point closing_since_{};
+    duration idle_limit_{};      ///< in force when it became idle
+    time_point closing_since_{}; ///< or since bytes were delivered
+    int undelivered_ = 0;        ///< bytes in the kernel then
 };
 
 /// First line and headers of an answer.
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -17,9 +18,12 @@
 /// Callers reuse connections for a part of the idle time-out; this keeps our
 /// close clear of their last use.
 constexpr duration idle_slack = 500ms;
-/// How long a connection that we have closed may go on sending. Closing it
-/// with bytes unread would reset it and lose the answer on its way.
+/// How long a connection that we have closed may go on sending, once its caller
+/// has all bytes. Closing it with bytes unread would reset it and lose the
+/// answer on its way.
 constexpr duration linger = 1s;
+/// Our own end of a connection counts as a byte until the caller has it.
+constexpr int bytes_of_the_end = 1;
 /// A request that takes longer to arrive has no caller who waits for it.
 constexpr duration longest_reading = 60s;
 constexpr int status_bad_request = 400;
@@ -382,6 +386,7 @@
         return; // called again once it is written
     end_.shut_down();
     closing_since_ = host_.loop->now();
+    undelivered_ = undelivered_bytes();
     ::shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
 }
 
@@ -500,8 +505,7 @@
 void caller_connection::check_time(time_point now)
 {
     if (end_.is_shut_down()) {
-        if (now - closing_since_ > linger)
-            end();
+        check_delivery(now);
         return;
     }
     const bool unread =
@@ -516,6 +520,30 @@
         close_if_idle();
 }
 
+// The linger begins anew with each byte that the caller's side has taken.
+void caller_connection::check_delivery(time_point now)
+{
+    const int left = undelivered_bytes();
+    if (left < undelivered_) {
+        undelivered_ = left;
+        closing_since_ = now;
+    }
+    const bool is_delivered = left <= bytes_of_the_end;
+    const auto limit = is_delivered ? linger : host_.limits.stall_timeout;
+    if (now - closing_since_ > limit)
+        end();
+}
+
+// Of the last answers, in the kernel; a connection that has none to tell is
+// taken for one that has delivered all.
+int caller_connection::undelivered_bytes() const
+{
+    int left = 0;
+    if (::ioctl(bufferevent_getfd(stream_.get()), SIOCOUTQ, &left) != 0)
+        return 0;
+    return left;
+}
+
 // Once only: answers to earlier requests may still be due.
 void caller_connection::check_reading(time_point now)
 {
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -451,6 +451,29 @@
     ::close(socket);
 }
 
+// Our close met bytes that it went on sending, which reset the connection: what
+// the kernel had not delivered of the answer was lost.
+TEST(CallerServer, ASlowCallerThatGoesOnSendingGetsItsLastAnswer)
+{
+    served s;
+    const auto socket = connect_slowly(s.where);
+    s.await(1);
+    s.server.announce_close();
+    constexpr std::size_t length = 1024 * 1024; // the kernel takes all of it
+    s.held[0]->reply(200, {}, std::string(length, 'x'));
+    evutil_make_socket_nonblocking(socket);
+    const std::string_view request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    timer send(s.loop, [&] {
+        ::send(socket, request.data(), request.size(), MSG_NOSIGNAL);
+    });
+    send.start_every(10ms);
+    run_for(s.loop, 2200ms);
+    EXPECT_GT(read_to_the_end(s.loop, socket), length);
+    EXPECT_EQ(s.requests.size(), 1u);
+    ::close(socket);
+    run_until(s.loop, [&] { return s.server.connections() == 0; });
+}
+
 // Request 3 was passed on and then cut: the answer to 2, which was ready
 // before that to 1, had already said that it is the last.
 TEST(CallerServer, NothingIsReadOnceAnAnswerSaysThatItIsTheLast)
