--- a/test/platform/caller.py
+++ b/test/platform/caller.py
@@ -85,8 +85,9 @@
         asked.deadline = asked.at + deadline_s
         return asked
 
-    async def request(self, route, deadline_s=2.0, give_up_s=None):
-        """One attempt; its outcome goes into the truth."""
+    async def request(self, route, deadline_s=2.0, give_up_s=None, same=None):
+        """One attempt; its outcome goes into the truth. `same` is the path and
+        the body, where several requests share them."""
         link = await self.connect()
         if link is None:
             await asyncio.sleep(0.1)
@@ -96,6 +97,8 @@
         body = b"" if route.repeatable else attempt_id.encode() * 20
         method = "GET" if route.repeatable else "POST"
         path = f"{route.prefix}{self._count}"
+        if same:
+            path, body = same
         asked.sent = (method, path, body)
         headers = [("Host", route.host), (ID, attempt_id),
                    (DEADLINE, int(deadline_s * 1000))]
--- a/test/platform/soak.py
+++ b/test/platform/soak.py
@@ -25,6 +25,7 @@
 
 import wire  # noqa: E402
 from caller import get  # noqa: E402
+from deadly import DeadlyRequests  # noqa: E402
 from faults import LinkFaults, RouterFaults  # noqa: E402
 from fleet import Fleet  # noqa: E402
 from store_faults import RowFaults, StoreFaults  # noqa: E402
@@ -56,10 +57,13 @@
         # play the same faults.
         self.restores = random.Random(f"restores {seed}")
         self.store_faults = StoreFaults(fleet, self.restores, self.out)
+        self.deadly = DeadlyRequests(fleet, seed, self.out)
+        self.hear_each_other = not {RouterFaults, LinkFaults} & set(chosen)
 
     async def run(self, seconds):
         until = time.monotonic() + seconds
-        running = {asyncio.create_task(self.restore_store(seconds))}
+        running = {asyncio.create_task(self.restore_store(seconds)),
+                   asyncio.create_task(self.deadly.run(seconds))}
         while time.monotonic() < until:
             await asyncio.sleep(self.random.uniform(0.1, 2) * self.gap)
             fault = self.random.choice(self.faults)
@@ -105,6 +109,7 @@
 
     async def check_calm(self, since):
         truth = self.fleet.truth
+        self.deadly.check(truth, self.hear_each_other)
         if (share := truth.served(since, callers="c")) < RECOVERED:
             ends = Counter((a.route, a.status) for a in truth.asked.values()
                            if a.at > since and a.status != 200 and a.ended)
