Count the attempts of a relayed request at both instances together

What callers saw: nothing.

Cause: the peer gave it all attempts of the route, whatever it had run on before; and the instance that relayed it counted the relay as one attempt, so that it went on with its own after the peer's failure.

Ruled out: a second relay, which was barred already once the first may have run.

Change: "Relayed-By: NAME;attempts=N" names the attempts that are left; the peer takes the smaller of that and the route's. A relay that may have run leaves no attempt to its sender. Builds before read any value of the header as it was.

Conclusion: both instances together keep within the route's number. That the sender stops after a relay is shown apart from sockets only (attempts).

--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -283,7 +283,10 @@
 {
     auto finished = remove_attempt(ended);
     record_outcome(*finished, outcome);
-    relayed_ = relayed_ || (finished->is_relay && may_have_run(outcome));
+    if (finished->is_relay && may_have_run(outcome)) {
+        relayed_ = true;
+        tracker_.on_attempts_given_away();
+    }
     const bool budget_left =
         context_.budgets.of(service_).has_room(context_.loop.now());
     const auto step = tracker_.on_ended(outcome, budget_left);
--- a/apps/router/requests/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -54,11 +54,15 @@
 std::optional<problem> relay_filter::operator()(incoming_request& request,
                                                 const filter_context&) const
 {
-    const auto removed =
-        std::erase_if(request.message.headers, [](const auto& field) {
-            return io::same_header_name(field.name, relayed_by_header);
-        });
-    request.is_relayed = removed > 0;
+    const auto relayed_by =
+        io::find_header(request.message.headers, relayed_by_header);
+    if (!relayed_by)
+        return std::nullopt;
+    request.is_relayed = true;
+    request.relayed_attempts = parse_relayed_attempts(*relayed_by);
+    std::erase_if(request.message.headers, [](const auto& field) {
+        return io::same_header_name(field.name, relayed_by_header);
+    });
     return std::nullopt;
 }
 
--- a/apps/router/requests/request_filters.hpp
+++ b/apps/router/requests/request_filters.hpp
@@ -24,6 +24,8 @@
     std::string idempotency_key;       ///< idempotency key; empty if none
     bool is_trial = false;   ///< requests like it end their targets, or did
     bool is_relayed = false; ///< by a peer that reaches no target
+    /// Number of targets that the peer lets it run on, if it says so.
+    std::optional<int> relayed_attempts;
 };
 
 /// What filters need in addition to the request.
--- a/apps/router/targets/target_message.cpp
+++ b/apps/router/targets/target_message.cpp
@@ -2,6 +2,7 @@
 
 #include "requests/problem.hpp"
 #include "vanillapost/base.hpp"
+#include "vanillapost/src/base/number_text.hpp"
 
 #include <algorithm>
 
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr int status_misdirected = 421;
+/// Behind the name, in `Relayed-By`.
+constexpr std::string_view attempts_mark = ";attempts=";
 
 /// \param default_host  for a request without a `Host` header
 /// \param added         a header that the receiver gets in addition
@@ -57,10 +60,23 @@
 
 std::string format_relayed_request(const io::http_request& request,
                                    const member& self,
-                                   const header_names& names, duration left)
+                                   const header_names& names, duration left,
+                                   int attempts)
 {
+    const auto value =
+        self.name.value + std::string(attempts_mark) + std::to_string(attempts);
     return format_message(request, self.caller_address, names, left,
-                          {std::string(relayed_by_header), self.name.value});
+                          {std::string(relayed_by_header), value});
+}
+
+std::optional<int> parse_relayed_attempts(std::string_view relayed_by)
+{
+    const auto mark = relayed_by.rfind(attempts_mark);
+    if (mark == std::string_view::npos)
+        return std::nullopt;
+    const auto attempts =
+        parse_number<int>(relayed_by.substr(mark + attempts_mark.size()));
+    return attempts && *attempts >= 1 ? attempts : std::nullopt;
 }
 
 attempt_outcome classify_answer(const io::target_answer_head& head,
--- a/apps/router/targets/target_message.hpp
+++ b/apps/router/targets/target_message.hpp
@@ -23,10 +23,17 @@
 inline constexpr std::string_view relayed_by_header = "Relayed-By";
 
 /// Returns the request as sent to a peer, which is to send it to a target.
-/// \param left  time left for the answer
+/// \param left      time left for the answer
+/// \param attempts  number of targets that it may still run on
 std::string format_relayed_request(const io::http_request& request,
                                    const member& self,
-                                   const header_names& names, duration left);
+                                   const header_names& names, duration left,
+                                   int attempts);
+
+/// Number of targets that a relayed request may run on, as its `Relayed-By`
+/// says; nothing if it is missing, as in builds before it was added, or no
+/// positive number.
+std::optional<int> parse_relayed_attempts(std::string_view relayed_by);
 
 /// Returns the outcome of a relayed request. A peer's own refusal promises that
 /// the request has not run.
--- a/include/vanillapost/src/attempts/attempt_tracker.hpp
+++ b/include/vanillapost/src/attempts/attempt_tracker.hpp
@@ -60,6 +60,16 @@
     /// An attempt was abandoned before it ended, so that it may have run.
     void on_abandoned();
 
+    /// Another instance, which got all attempts that were left, may have made
+    /// them.
+    void on_attempts_given_away();
+
+    /// Number of targets that the request may still run on.
+    int left() const
+    {
+        return max_attempts_ - possibly_ran_ - in_flight_;
+    }
+
     /// The final step when time is up or nothing can be sent: `step_refuse` if
     /// the request certainly has not run and will not, else `step_fail`.
     attempt_step give_up() const;
--- a/src/attempts/attempt_tracker.cpp
+++ b/src/attempts/attempt_tracker.cpp
@@ -28,8 +28,7 @@
 {
     if (!repeatable_ && may_have_run())
         return false;
-    return possibly_ran_ + in_flight_ < max_attempts_ &&
-           refused_ < max_refusals;
+    return left() > 0 && refused_ < max_refusals;
 }
 
 void attempt_tracker::on_started()
@@ -69,6 +68,11 @@
     ++possibly_ran_;
 }
 
+void attempt_tracker::on_attempts_given_away()
+{
+    max_attempts_ = 0;
+}
+
 attempt_step attempt_tracker::give_up() const
 {
     if (may_have_run())
--- a/test/attempts.cpp
+++ b/test/attempts.cpp
@@ -108,6 +108,20 @@
         tracker.on_ended(attempt_not_sent{"no connection"}, false)));
 }
 
+// Each of two instances made all attempts of the route.
+TEST(Attempts, NoneIsLeftOnceAnotherInstanceMayHaveMadeThem)
+{
+    attempt_tracker tracker(true, 3);
+    EXPECT_EQ(tracker.left(), 3);
+    tracker.on_started();
+    EXPECT_TRUE(is<step_retry>(tracker.on_ended(attempt_lost{"cut"}, true)));
+    EXPECT_EQ(tracker.left(), 2);
+    tracker.on_started();
+    tracker.on_attempts_given_away();
+    EXPECT_TRUE(is<step_fail>(tracker.on_ended(attempt_lost{"relay"}, true)));
+    EXPECT_FALSE(tracker.may_start());
+}
+
 TEST(Attempts, ATargetsFailureIsForwardedWhenNoRetryIsAllowed)
 {
     attempt_tracker tracker(false, 2);
--- a/test/platform/test_incidents.py
+++ b/test/platform/test_incidents.py
@@ -12,6 +12,7 @@
 import wire  # noqa: E402
 from caller import get  # noqa: E402
 from fleet import BIN, LOOKUP, Fleet, Route  # noqa: E402
+from target import ID  # noqa: E402
 
 CONFIG_BOUND_S = 2.0  # from the acknowledgement of a version
 NO_UTF8 = b"\xc1\xbf\x80 written by somebody else"
@@ -298,3 +299,39 @@
             assert router.process.poll() is None
 
     asyncio.run(scenario())
+
+
+# A relayed request got all attempts of its route once more at the peer.
+def test_a_relayed_request_runs_on_no_more_targets_than_its_relay_says():
+    async def scenario():
+        async with Fleet(routers=1, targets_per_zone=2) as fleet:
+            await fleet.wait_ready()
+            for target in fleet.targets_of(LOOKUP.service):
+                target.lose = 1.0
+            for allowed, runs in (("", LOOKUP.attempts), (";attempts=1", 1),
+                                  (";attempts=9", LOOKUP.attempts)):
+                attempt_id = f"relayed{allowed[-1:]}"
+                asked = fleet.truth.ask(attempt_id, LOOKUP.service, True)
+                asked.route = LOOKUP.name
+                asked.router = fleet.routers[0].front
+                status = await ask_relayed(fleet.routers[0], attempt_id,
+                                           "router-9" + allowed)
+                assert status == 502, (allowed, status)
+                assert len(fleet.truth.runs[attempt_id]) == runs, allowed
+
+    asyncio.run(scenario())
+
+
+async def ask_relayed(router, attempt_id, relayed_by):
+    ip, _, port = router.front.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(wire.format_message(
+        f"GET {LOOKUP.prefix}{attempt_id} HTTP/1.1",
+        [("Host", LOOKUP.host), (ID, attempt_id), ("Relayed-By", relayed_by)],
+        length=False))
+    try:
+        answer = await asyncio.wait_for(
+            wire.read_message(reader, answer=True), 3)
+    finally:
+        writer.close()
+    return answer.status
--- a/test/target_message.cpp
+++ b/test/target_message.cpp
@@ -106,14 +106,25 @@
     member self;
     self.name = {"r1"};
     const auto text =
-        format_relayed_request(request, self, make_names(), 250ms);
-    for (const auto* line :
-         {"Host: h\r\n", "Id: 7\r\n", "Left: 250\r\n", "Relayed-By: r1\r\n"})
+        format_relayed_request(request, self, make_names(), 250ms, 2);
+    for (const auto* line : {"Host: h\r\n", "Id: 7\r\n", "Left: 250\r\n",
+                             "Relayed-By: r1;attempts=2\r\n"})
         EXPECT_TRUE(has(text, line)) << line;
     EXPECT_FALSE(has(text, "only: "));
     EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
 }
 
+TEST(RelayedRequest, SaysHowManyTargetsItMayStillRunOn)
+{
+    EXPECT_EQ(parse_relayed_attempts("r1;attempts=2"), 2);
+    EXPECT_EQ(parse_relayed_attempts("r;attempts=7;attempts=1"), 1);
+    // The first is that of builds before.
+    for (const auto* text :
+         {"r1", "", "r1;attempts=", "r1;attempts=0", "r1;attempts=-1",
+          "r1;attempts=x", "r1;attempts=99999999999999999999"})
+        EXPECT_EQ(parse_relayed_attempts(text), std::nullopt) << text;
+}
+
 TEST(RelayedRequest, OnlyARefusalOfThePeerPromisesThatItDidNotRun)
 {
     const auto outcome = [](int status, io::header_list headers) {
