Pass nothing on behind an answer that may be streamed

Cause: a connection's requests are worked on together and answered in order. A streamed answer that breaks can only end its connection, and takes along what was passed on behind it.

Ruled out: answers that overtake (HTTP/1.1 has none on a connection); holding back unsafe requests only (safe ones were lost and counted); not reading on (PROTOCOL.md: callers give up what is not read within a second).

Change: requests behind one whose answer may be streamed are read, and handed over once that answer is complete: behind a "download" from its start, behind any other once its answer is streamed. Their deadlines count from their arrival, their wait for a slot and the plan of a stop from the moment they are handed over.

On a test: TheRequestBehindAStreamThatBeganBeforeIsTheLastOne finishes the stream before it waits for the request behind it, which now comes then; what it checks stands.

Conclusion: what is behind a download waits for it, as it did in its answer's order; nothing that was run is lost with it.

--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -64,8 +64,9 @@
 {
     incoming_request request;
     request.message = std::move(message);
-    request.arrived = loop_.now();
-    cluster_.on_request(request.arrived);
+    request.arrived = exchange->taken_at();
+    request.begun = loop_.now();
+    cluster_.on_request(request.begun);
     const auto refused =
         run_filters(request, {cluster_, adapter_, generate_request_id_,
                               has_newest_configuration_, statistics_,
@@ -74,6 +75,8 @@
         refuse(*exchange, *refused, request);
         return;
     }
+    if (request.rule.kind == request_kind::download)
+        exchange->hold_followers();
     if (!claims_ || request.idempotency_key.empty()) {
         begin(std::move(exchange), std::move(request), 0);
         return;
--- a/apps/router/requests/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -146,8 +146,8 @@
     late.time_limit = within_timeout(rule, limit);
     late.expected_work = context.statistics.expected_work(rule);
     late.repeatable = may_repeat(rule.kind);
-    late.has_peers = !members.ready_peers(request.arrived).empty();
-    if (context.shutdown->admits(request.arrived, late))
+    late.has_peers = !members.ready_peers(request.begun).empty();
+    if (context.shutdown->admits(request.begun, late))
         return std::nullopt;
     return refusal(status_unavailable, "shutdown",
                    "this instance stops before it could answer");
@@ -172,7 +172,7 @@
     if (admission != crash_admission::held)
         return std::nullopt;
     auto result = refusal(status_unavailable, "crash", held_reason);
-    result.retry_after = suspects.hold_left(identity, request.arrived);
+    result.retry_after = suspects.hold_left(identity, request.begun);
     return result;
 }
 
--- a/apps/router/requests/request_filters.hpp
+++ b/apps/router/requests/request_filters.hpp
@@ -20,6 +20,7 @@
     std::string id;
     route rule;
     time_point arrived{};
+    time_point begun{}; ///< it may have waited behind another until then
     std::optional<duration> time_left; ///< until the caller's deadline
     std::string idempotency_key;       ///< idempotency key; empty if none
     bool is_trial = false;   ///< requests like it end their targets, or did
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -47,7 +47,7 @@
       tracker_(may_repeat(rule_.kind),
                std::min(request.relayed_attempts.value_or(rule_.max_attempts),
                         rule_.max_attempts)),
-      arrived_(request.arrived), placeable_since_(request.arrived),
+      arrived_(request.arrived), placeable_since_(request.begun),
       timer_(context.loop,
              [this] { guard("check request timers", [this] { on_timer(); }); })
 {
--- a/include/vanillapost/src/io/caller_server.hpp
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -51,6 +51,17 @@
     /// The request; once.
     http_request take_request();
 
+    /// When the whole request had come. It may be handed over later, see
+    /// `hold_followers`.
+    time_point taken_at() const;
+
+    /// Hands over no request behind this one on its connection before the
+    /// answer to this one is complete. It may be so long that it is streamed,
+    /// and a streamed answer that breaks ends its connection, with all requests
+    /// behind it. To be called while the request is handed over; an answer that
+    /// is streamed does so by itself.
+    void hold_followers();
+
     /// Called once when the caller has closed its connection.
     void on_gone(std::function<void()> handler);
 
--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -23,6 +23,9 @@
     caller_exchange* owner = nullptr;        ///< null once it was destroyed
     http_request request;
     std::string method; ///< stays when the request is taken
+    time_point taken_at{};
+    bool is_handed_over = false; ///< to the owner of the server
+    bool holds_followers = false;
     bool keep_alive = true;
     bool begun = false;       ///< the head of its answer is made
     bool has_body = true;     ///< of the answer
@@ -117,6 +120,9 @@
     void note_idle();
     void tell_to_go_on();
     connection_load load() const;
+    caller_slot* next_to_hand_over();
+    void hand_over_requests();
+    void hand_over(caller_slot& slot);
     void set_last();
     void close_gracefully();
     void close_between_requests();
@@ -134,6 +140,7 @@
     time_point waits_since_{};                 ///< for room for its body
     bool wants_go_on_ = false; ///< its caller waits before it sends the body
     bool reading_ = false;
+    bool handing_over_ = false;
     connection_end end_;
     bool ends_an_answer_ = false; ///< one without a length has begun
     time_point message_since_{};  ///< its first byte
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -263,9 +263,39 @@
     if (end_.on_request_taken(host_.phase, load()))
         set_last();
     ++host_.in_flight;
+    slot.taken_at = host_.loop->now();
+    hand_over_requests();
+}
+
+// The first one that is not handed over yet, unless one before it holds it.
+caller_slot* caller_connection::next_to_hand_over()
+{
+    for (const auto& each : slots_) {
+        if (!each->is_handed_over)
+            return each.get();
+        if (each->holds_followers && !each->finished)
+            return nullptr;
+    }
+    return nullptr;
+}
+
+// A request that is answered on the spot may let the next one go.
+void caller_connection::hand_over_requests()
+{
+    if (handing_over_)
+        return;
+    handing_over_ = true;
+    while (auto* next = next_to_hand_over())
+        hand_over(*next);
+    handing_over_ = false;
+}
+
+void caller_connection::hand_over(caller_slot& slot)
+{
+    slot.is_handed_over = true;
     auto exchange = std::make_unique<caller_exchange>(slot);
     slot.owner = exchange.get();
-    // The parser is on the stack, and it is not made for exceptions. What
+    // The parser may be on the stack, and it is not made for exceptions. What
     // was dropped on the way ends the connection at its turn.
     host_.loop->guard("take request", "",
                       [&] { host_.handle(std::move(exchange)); });
@@ -284,6 +314,7 @@
         "Content-Length: " + std::to_string(body.size()) + "\r\n", true);
     slot->held += body;
     slot->finished = true;
+    slot->is_handed_over = true;
     ++host_.in_flight;
     slots_.push_back(std::move(slot));
     flush();
@@ -325,6 +356,7 @@
 {
     slot.finished = true;
     flush();
+    hand_over_requests();
 }
 
 void caller_connection::flush()
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -69,6 +69,18 @@
     return std::move(slot_->request);
 }
 
+time_point caller_exchange::taken_at() const
+{
+    assert(slot_);
+    return slot_->taken_at;
+}
+
+void caller_exchange::hold_followers()
+{
+    if (slot_)
+        slot_->holds_followers = true;
+}
+
 void caller_exchange::on_gone(std::function<void()> handler)
 {
     gone_ = std::move(handler);
@@ -119,6 +131,7 @@
         return;
     }
     start_body(status, length);
+    hold_followers();
     auto& connection = *slot_->connection;
     const bool close = connection.begin_answer(*slot_);
     const auto framing = slot_->has_body ? framing_line(*slot_) : "";
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -330,15 +330,66 @@
     s.server.stop_accepting();
     caller->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
                  "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(s.loop, 20ms);
+    s.held[0]->finish();
     s.await(2);
     s.held[1]->reply(200, {}, "second");
-    s.held[0]->finish();
     run_until(s.loop, [&] { return caller->closed; });
     EXPECT_EQ(s.requests.size(), 2u);
     EXPECT_LT(position(*caller, "Connection: close"),
               position(*caller, "second"));
 }
 
+// They had been answered by sound targets, and ended with the connection of a
+// stream that broke.
+TEST(CallerServer, NothingIsHandedOverBehindAStreamThatMayBreak)
+{
+    served s;
+    auto caller = s.connect();
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    s.await(1);
+    s.held[0]->begin(200, {}, 100);
+    s.held[0]->write("stream");
+    caller->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(s.loop, 30ms);
+    EXPECT_EQ(s.requests.size(), 1u);
+    EXPECT_EQ(s.server.in_flight(), 3u);
+    s.held[0].reset();
+    run_until(s.loop, [&] { return caller->closed; });
+    EXPECT_EQ(s.requests.size(), 1u);
+    EXPECT_EQ(s.server.in_flight(), 0u);
+}
+
+TEST(CallerServer, RequestsBehindOneThatHoldsThemComeAfterItsAnswer)
+{
+    event_loop loop;
+    std::vector<exchange_ptr> held;
+    std::vector<time_point> taken;
+    caller_server server(loop, {}, [&](exchange_ptr e) {
+        const bool holds = e->take_request().target == "/hold";
+        if (holds)
+            e->hold_followers();
+        taken.push_back(e->taken_at());
+        held.push_back(std::move(e));
+    });
+    auto caller = connect_raw(loop, server.listen(any_port));
+    caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n"
+                 "GET /4 HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_until(loop, [&] { return held.size() == 2; });
+    run_for(loop, 30ms);
+    held[1]->reply(200, {}, "second");
+    EXPECT_EQ(held.size(), 3u);
+    held[2]->reply(200, {}, "third");
+    EXPECT_EQ(held.size(), 4u);
+    EXPECT_LT(taken[3] - taken[0], 25ms);
+    held[3]->reply(200, {}, "fourth");
+    held[0]->reply(200, {}, "first");
+    run_until(loop, [&] { return caller->received.ends_with("fourth"); });
+}
+
 // A router that reaches its targets again keeps its connections.
 TEST(CallerServer, ACloseThatIsTakenBackEndsNoPipeline)
 {
--- a/test/platform/test_answers.py
+++ b/test/platform/test_answers.py
@@ -8,8 +8,8 @@
 sys.path.insert(0, os.path.dirname(__file__))
 
 import wire  # noqa: E402
-from fleet import FILES, Fleet  # noqa: E402
-from target import ID, answer_body  # noqa: E402
+from fleet import FILES, LOOKUP, Fleet  # noqa: E402
+from target import ID, SEAL, answer_body, seal_of  # noqa: E402
 
 MIB = 1024 * 1024
 # After the route's time-out, as the users' rules allow.
@@ -68,3 +68,60 @@
 
 def test_a_chunked_download_that_failed_looked_complete():
     play("chunks")
+
+
+async def send_half(request, attempt_id, writer):
+    body = answer_body(attempt_id, 6 * MIB)
+    writer.write(wire.format_message("HTTP/1.1 200 X", [
+        (ID, attempt_id), (SEAL, seal_of(body))], body)[:4 * MIB])
+    await writer.drain()
+    await asyncio.sleep(0.3)
+    wire.close(writer, reset=True)
+    return False
+
+
+async def ask_behind_a_download(fleet, number):
+    """A download and three small requests on one connection; returns the
+    statuses until its end."""
+    ip, _, port = fleet.routers[0].front.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    for i, route in enumerate((FILES, LOOKUP, LOOKUP, LOOKUP)):
+        name = f"behind-{number}-{i}"
+        fleet.truth.ask(name, route.service, True).route = route.name
+        writer.write(wire.format_message(
+            f"GET {route.prefix}{name} HTTP/1.1",
+            [("Host", route.host), (ID, name)], length=False))
+    statuses = []
+    try:
+        while True:
+            answer = await wire.read_message(reader, answer=True)
+            statuses.append(answer.status)
+            if len(statuses) == 4:
+                break
+    except (wire.Broken, ConnectionError):
+        pass
+    writer.close()
+    return statuses
+
+
+# Sound targets had answered them, and they ended with the connection.
+def test_nothing_is_lost_behind_a_download_that_breaks():
+    async def scenario():
+        async with Fleet() as fleet:
+            await fleet.wait_ready()
+            for target in fleet.targets_of(FILES.service):
+                target._answer = send_half
+            ends = await asyncio.gather(*(
+                ask_behind_a_download(fleet, n) for n in range(4)))
+            assert ends == [[]] * 4, ends
+            passed_on = [name for name, runs in fleet.truth.runs.items()
+                         if runs and not name.endswith("-0")]
+            assert passed_on == []
+            for target in fleet.targets_of(FILES.service):
+                vars(target).pop("_answer")
+            ends = await asyncio.gather(*(
+                ask_behind_a_download(fleet, n) for n in range(4, 8)))
+            assert ends == [[200] * 4] * 4, ends
+            assert fleet.truth.violations == []
+
+    asyncio.run(scenario())
