Bound large bodies by a share of the memory that the settings name

Ruled out: reading the machine's memory from the system, as the platform's limit for a process is lower.

Metric vanillapost_body_bytes. A body larger than the room is let in alone, as before.

Peak memory was not measured again.

Conclusion: the bound follows the deployment. Still up to three copies of a body, and downloads to slow readers are not in it.

--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -121,6 +121,8 @@
                                 "whether to another data centre")),
       in_flight_(make_gauge(registry_, "vanillapost_requests_in_flight",
                             "Requests without their whole answer")),
+      body_bytes_(make_gauge(registry_, "vanillapost_body_bytes",
+                             "Room that large bodies of requests take")),
       version_(make_gauge(registry_, "vanillapost_configuration_version",
                           "Version of the configuration in force")),
       store_(make_gauge(registry_, "vanillapost_store_reachable",
@@ -272,6 +274,11 @@
     in_flight_.Set(static_cast<double>(requests));
 }
 
+void router_metrics::set_body_bytes(std::size_t bytes)
+{
+    body_bytes_.Set(static_cast<double>(bytes));
+}
+
 void router_metrics::set_configuration_version(std::uint64_t version)
 {
     version_.Set(static_cast<double>(version));
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -90,6 +90,8 @@
     void set_store_reachable(bool reachable);
     void set_members(std::size_t live);
     void set_targets(std::size_t listed);
+    /// \param bytes  reserved for large bodies of requests
+    void set_body_bytes(std::size_t bytes);
     void set_lost_log_lines(std::uint64_t lines);
 
     const prometheus::Registry& registry() const
@@ -129,6 +131,7 @@
     prometheus::Counter& member_deaths_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
     prometheus::Gauge& in_flight_;
+    prometheus::Gauge& body_bytes_;
     prometheus::Gauge& version_;
     prometheus::Gauge& store_;
     prometheus::Gauge& members_;
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -20,9 +20,18 @@
     return self;
 }
 
-io::caller_server_limits server_limits(const caller_limits& limits)
+constexpr std::size_t megabyte = 1'000'000;
+/// A body is held up to three times while it is sent: as it was read, formatted
+/// for its target, and unwritten. The other half of the memory is for the rest.
+constexpr std::size_t body_memory_divisor = 6;
+
+io::caller_server_limits server_limits(const caller_limits& limits,
+                                       const router_settings& settings)
 {
     io::caller_server_limits result;
+    result.max_total_body_bytes =
+        static_cast<std::size_t>(settings.memory_limit_mb) * megabyte /
+        body_memory_divisor;
     result.max_header_bytes = limits.max_header_bytes;
     result.max_body_bytes = limits.max_body_bytes;
     result.header_timeout = limits.header_timeout;
@@ -60,7 +69,7 @@
       directory_(loop, cluster_, state_, adapter_, metrics_.registry(),
                  engine_.crashes(), settings.answer_lifetime,
                  random_engine(random_())),
-      callers_(loop, server_limits({}),
+      callers_(loop, server_limits({}, settings),
                [this](std::unique_ptr<io::caller_exchange> exchange) {
                    handle(std::move(exchange));
                }),
@@ -174,6 +183,8 @@
     settings_.log_level = settings.log_level;
     settings_.log_lines_per_second = settings.log_lines_per_second;
     settings_.answer_lifetime = settings.answer_lifetime;
+    settings_.memory_limit_mb = settings.memory_limit_mb;
+    callers_.set_limits(server_limits(limits_, settings_));
     io::set_log_level(settings.log_level);
     log_.set_limit(settings.log_lines_per_second);
     directory_.set_answer_lifetime(settings.answer_lifetime);
@@ -215,7 +226,7 @@
     const auto& limits = cluster_.routes().config().limits;
     if (limits != limits_) {
         limits_ = limits;
-        callers_.set_limits(server_limits(limits));
+        callers_.set_limits(server_limits(limits, settings_));
     }
     update_metrics(now);
 }
@@ -226,6 +237,7 @@
     engine_.set_members(live);
     metrics_.set_members(live);
     metrics_.set_targets(cluster_.targets.all().size());
+    metrics_.set_body_bytes(callers_.body_bytes());
     metrics_.set_lost_log_lines(io::lost_log_lines());
     metrics_.set_configuration_version(cluster_.routes().config().version);
     metrics_.set_store_reachable(state_.access() != store_access::lost);
--- a/include/vanillapost/src/io/caller_server.hpp
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -130,6 +130,9 @@
 
     std::size_t connections() const;
 
+    /// Bytes of the room for large bodies that are reserved.
+    std::size_t body_bytes() const;
+
 private:
     std::unique_ptr<state> state_;
 };
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -315,6 +315,11 @@
     return state_->host.in_flight;
 }
 
+std::size_t caller_server::body_bytes() const
+{
+    return state_->host.bodies.reserved();
+}
+
 std::size_t caller_server::connections() const
 {
     return state_->connections.size();
--- a/test/platform/test_endless.py
+++ b/test/platform/test_endless.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -250,3 +251,50 @@
                 assert target.sending == 0, target.id
 
     asyncio.run(scenario())
+
+
+UPLOAD = 1_000_000  # bytes; a sixth of 32 MB has room for five
+FIT = 5
+NO_ROOM_S = 5.0  # after which a body that waits is refused
+
+
+async def begin_upload(router, name, body):
+    """A booking of which only that much of its body comes."""
+    ip, _, port = router.front.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(wire.format_message(
+        f"POST {ORDER.prefix}{name} HTTP/1.1",
+        [("Host", ORDER.host), (ID, name), ("Content-Length", UPLOAD)],
+        length=False) + body)
+    return reader, writer
+
+
+# The bound on bodies was the same on machines of any size.
+def test_large_bodies_take_a_share_of_the_memory_that_the_settings_name():
+    async def scenario():
+        async with Fleet(routers=1) as fleet:
+            await fleet.wait_ready()
+            router = fleet.routers[0]
+            router.rewrite_settings(memory_limit_mb=32)
+            router.signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            fitting = [await begin_upload(router, f"fits-{i}", b"x" * 100_000)
+                       for i in range(FIT)]
+            await asyncio.sleep(0.5)
+            one_more = await begin_upload(router, "waits", b"x" * 100_000)
+            began = time.monotonic()
+            await asyncio.sleep(1)
+            held = await router.metric("vanillapost_body_bytes")
+            assert held == FIT * UPLOAD, held
+            await fleet.load(1, callers=4, routes=[LOOKUP])
+            assert fleet.truth.served(began) > 0.97
+            answer = await asyncio.wait_for(
+                wire.read_message(one_more[0], answer=True), NO_ROOM_S + 1.5)
+            assert answer.status == 503
+            assert answer.header("Retry-After") is not None
+            for _, writer in (*fitting, one_more):
+                writer.close()
+            await asyncio.sleep(1.5)
+            assert await router.metric("vanillapost_body_bytes") == 0
+
+    asyncio.run(scenario())
