Take the memory of the settings as a number with a fraction too

Cause: found on reading the diff. memory_limit_mb was an integer of 32 at least; the platform fills other limits with fractions ("2500.0"), and a value it refuses would keep the process from starting.

Change: a number from 1 to 1,000,000.

--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -20,18 +20,17 @@
     return self;
 }
 
-constexpr std::size_t megabyte = 1'000'000;
+constexpr double megabyte = 1e6;
 /// A body is held up to three times while it is sent: as it was read, formatted
 /// for its target, and unwritten. The other half of the memory is for the rest.
-constexpr std::size_t body_memory_divisor = 6;
+constexpr double body_memory_divisor = 6;
 
 io::caller_server_limits server_limits(const caller_limits& limits,
                                        const router_settings& settings)
 {
     io::caller_server_limits result;
-    result.max_total_body_bytes =
-        static_cast<std::size_t>(settings.memory_limit_mb) * megabyte /
-        body_memory_divisor;
+    result.max_total_body_bytes = static_cast<std::size_t>(
+        settings.memory_limit_mb * megabyte / body_memory_divisor);
     result.max_header_bytes = limits.max_header_bytes;
     result.max_body_bytes = limits.max_body_bytes;
     result.header_timeout = limits.header_timeout;
--- a/apps/router/router_settings.cpp
+++ b/apps/router/router_settings.cpp
@@ -13,9 +13,8 @@
 constexpr std::string_view step = "read settings";
 constexpr std::size_t max_settings_bytes = 64 * 1024;
 constexpr double max_repeat_allowance = 1e6;
-/// An idle instance of a large fleet takes up to 20 MB.
-constexpr std::int64_t min_memory_mb = 32;
-constexpr std::int64_t max_memory_mb = 1'000'000;
+constexpr double min_memory_mb = 1;
+constexpr double max_memory_mb = 1e6;
 constexpr std::int64_t max_log_lines = 100'000;
 constexpr duration min_repeat_window = std::chrono::milliseconds(100);
 constexpr std::array<std::string_view, 2> platform_names = {"records", "rows"};
@@ -141,8 +140,8 @@
         "repeat_allowance", 0, max_repeat_allowance, result.repeats.allowance);
     result.repeats.window = read_repeat_window(reader, result.repeats.window);
     result.memory_limit_mb =
-        reader.integer("memory_limit_mb", min_memory_mb, max_memory_mb,
-                       result.memory_limit_mb);
+        reader.number("memory_limit_mb", min_memory_mb, max_memory_mb,
+                      result.memory_limit_mb);
     result.log_level = static_cast<io::log_level>(reader.choice(
         "log_level",
         {level_names[0], level_names[1], level_names[2], level_names[3]}, 1));
