--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -36,9 +36,11 @@
 class settings_watch
 {
 public:
+    /// \param defaults  for optional fields that are missing
     settings_watch(io::event_loop& loop, std::string file,
+                   const router::router_settings& defaults,
                    router::router_server& server)
-        : file_(std::move(file)), server_(server),
+        : file_(std::move(file)), defaults_(defaults), server_(server),
           text_(io::read_text_file(file_, settings_step)),
           timer_(loop, [this] { check(); })
     {
@@ -52,7 +54,8 @@
             if (text == text_)
                 return;
             text_ = std::move(text);
-            server_.apply(router::parse_router_settings(text_, file_));
+            server_.apply(
+                router::parse_router_settings(text_, file_, defaults_));
         } catch (const std::exception& failure) {
             io::log(io::log_level::warning, "settings_not_applied",
                     {{"file", file_}, {"reason", failure.what()}});
@@ -61,6 +64,7 @@
 
 private:
     std::string file_;
+    router::router_settings defaults_;
     router::router_server& server_;
     std::string text_;
     io::timer timer_;
@@ -103,12 +107,12 @@
 }
 
 void serve(io::event_loop& loop, const router::router_settings& settings,
-           const std::string& file)
+           const std::string& file, const router::router_settings& defaults)
 {
     const auto seed = make_seed();
     auto parts = make_platform(loop, settings, seed);
     router::router_server server(loop, settings, parts, seed);
-    settings_watch watch(loop, file, server);
+    settings_watch watch(loop, file, defaults, server);
     loop.on_signal(SIGTERM, [&] { server.leave(); });
     loop.on_signal(SIGINT, [&] { server.leave(); });
     loop.on_signal(SIGHUP, [&] { watch.check(); });
@@ -116,13 +120,14 @@
     loop.run();
 }
 
-void run(const router::router_settings& settings, const std::string& file)
+void run(const router::router_settings& settings, const std::string& file,
+         const router::router_settings& defaults)
 {
     io::start_log("vanillapost-router", settings.name, settings.log_level,
                   io::log_output::standard_output);
     io::event_loop loop;
     try {
-        serve(loop, settings, file);
+        serve(loop, settings, file, defaults);
     } catch (const std::exception& failure) {
         io::log(io::log_level::error, "ended_by_failure",
                 {{"reason", failure.what()}});
@@ -143,16 +148,23 @@
                  "Exit codes: 0 ended well, 1 bad settings, 2 failed.");
     std::string file;
     bool check = false;
+    router::router_settings defaults;
     app.add_option("--settings", file, "JSON file with the settings")
         ->envname("VANILLAPOST_SETTINGS")
         ->required();
+    app.add_option("--memory-limit-mb", defaults.memory_limit_mb,
+                   "memory of this process, in 10^6 bytes, if the settings "
+                   "do not name it")
+        ->envname("VANILLAPOST_MEMORY_LIMIT_MB")
+        ->check(CLI::Range(router::min_memory_limit_mb,
+                           router::max_memory_limit_mb));
     app.add_flag("--check", check, "check the settings and end");
     CLI11_PARSE(app, argc, argv);
     try {
         const auto settings = router::parse_router_settings(
-            io::read_text_file(file, settings_step), file);
+            io::read_text_file(file, settings_step), file, defaults);
         if (!check) {
-            run(settings, file);
+            run(settings, file, defaults);
             // Skips the destructors of static objects, which would wait for
             // idle threads of log4cplus.
             std::_Exit(0);
--- a/apps/router/router_settings.cpp
+++ b/apps/router/router_settings.cpp
@@ -13,8 +13,6 @@
 constexpr std::string_view step = "read settings";
 constexpr std::size_t max_settings_bytes = 64 * 1024;
 constexpr double max_repeat_allowance = 1e6;
-constexpr double min_memory_mb = 1;
-constexpr double max_memory_mb = 1e6;
 constexpr std::int64_t max_log_lines = 100'000;
 constexpr duration min_repeat_window = std::chrono::milliseconds(100);
 constexpr std::array<std::string_view, 2> platform_names = {"records", "rows"};
@@ -110,12 +108,13 @@
 } // namespace
 
 router_settings parse_router_settings(std::string_view text,
-                                      std::string_view file)
+                                      std::string_view file,
+                                      const router_settings& defaults)
 {
     const auto document =
         parse_bounded_json(text, max_settings_bytes, step, file);
     detail::field_reader reader(document);
-    router_settings result;
+    router_settings result = defaults;
     result.name = read_name(reader, "name");
     result.data_centre.value = read_name(reader, "data_centre");
     result.caller_address = read_connectable_address(reader, "caller_address");
@@ -140,8 +139,8 @@
         "repeat_allowance", 0, max_repeat_allowance, result.repeats.allowance);
     result.repeats.window = read_repeat_window(reader, result.repeats.window);
     result.memory_limit_mb =
-        reader.number("memory_limit_mb", min_memory_mb, max_memory_mb,
-                      result.memory_limit_mb);
+        reader.number("memory_limit_mb", min_memory_limit_mb,
+                      max_memory_limit_mb, result.memory_limit_mb);
     result.log_level = static_cast<io::log_level>(reader.choice(
         "log_level",
         {level_names[0], level_names[1], level_names[2], level_names[3]}, 1));
--- a/apps/router/router_settings.hpp
+++ b/apps/router/router_settings.hpp
@@ -44,10 +44,16 @@
     int log_lines_per_second = 60;
 };
 
-/// \param file  named in errors
+/// Bounds of `router_settings::memory_limit_mb`.
+inline constexpr double min_memory_limit_mb = 1;
+inline constexpr double max_memory_limit_mb = 1e6;
+
+/// \param file      named in errors
+/// \param defaults  for optional fields that are missing
 /// \throws field_error  naming every field that is wrong
 router_settings parse_router_settings(std::string_view text,
-                                      std::string_view file);
+                                      std::string_view file,
+                                      const router_settings& defaults = {});
 
 nlohmann::json to_json(const router_settings& settings);
 
--- a/test/router_settings.cpp
+++ b/test/router_settings.cpp
@@ -30,6 +30,19 @@
     EXPECT_EQ(to_json(parse_router_settings(text, "f")).dump(), text);
 }
 
+TEST(RouterSettings, TakesWhatIsMissingFromItsDefaults)
+{
+    router_settings defaults;
+    defaults.memory_limit_mb = 128;
+    auto document = sample();
+    document["memory_limit_mb"] = 256.5;
+    const auto named = parse_router_settings(document.dump(), "f", defaults);
+    EXPECT_EQ(named.memory_limit_mb, 256.5);
+    document.erase("memory_limit_mb");
+    const auto missing = parse_router_settings(document.dump(), "f", defaults);
+    EXPECT_EQ(missing.memory_limit_mb, 128);
+}
+
 TEST(RouterSettings, NamesEveryFieldThatIsWrong)
 {
     auto document = sample();
