Deliver an answer before a connection between two requests is closed

What callers saw: 24,576 bytes of an answer of 1 MiB, then a reset, at a planned stop or after idleTimeout, where they read slowly and send their next request meanwhile.

Cause: close_if_idle looked at what the process has not written. What the kernel has not delivered was dropped by the reset that bytes behind a close cause.

Ruled out: broken answers and refusals, which go through close_gracefully, and callers that do not read for the stall time-out, which are let go of on purpose.

Change: a connection with undelivered bytes is shut down without reading on, and ends as has it. As libevent tells of the caller's end only while it reads, the socket is asked (POLLRDHUP).

Conclusion: every orderly close waits for the delivery.

--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -116,6 +116,7 @@
     void reset_instead_of_closing();
     void check_delivery(time_point now);
     int undelivered_bytes() const;
+    bool has_caller_closed() const;
     void check_reading(time_point now);
     void note_idle();
     void tell_to_go_on();
@@ -126,6 +127,7 @@
     void set_last();
     void close_gracefully();
     void close_between_requests();
+    void close_unread();
     void end();
 
     connection_host& host_;
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <event2/event.h>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -429,8 +430,12 @@
 {
     if (host_.phase != server_phase::closing)
         return;
-    if (!is_idle())
-        return;
+    if (is_idle())
+        close_unread();
+}
+
+void caller_connection::close_unread()
+{
     bufferevent_disable(stream_.get(), EV_READ);
     close_gracefully();
 }
@@ -519,11 +524,16 @@
            !has_unread();
 }
 
-// At once, without reading on: a request that crosses the close was then never
-// read, and its caller may send it again whatever its kind.
+// Without reading on: a request that crosses the close was then never read, and
+// its caller may send it again whatever its kind. At once, unless its caller
+// has yet to get an answer that the kernel holds.
 void caller_connection::close_if_idle()
 {
-    if (is_idle() && end_.takes_requests())
+    if (!is_idle() || !end_.takes_requests())
+        return;
+    if (undelivered_bytes() > 0)
+        close_unread();
+    else
         end();
 }
 
@@ -562,10 +572,18 @@
     }
     const bool is_delivered = left <= bytes_of_the_end;
     const auto limit = is_delivered ? linger : host_.limits.stall_timeout;
-    if (now - closing_since_ > limit)
+    if (now - closing_since_ > limit || has_caller_closed())
         end();
 }
 
+// For times in which nothing is read: libevent tells of an end only then.
+bool caller_connection::has_caller_closed() const
+{
+    pollfd state{bufferevent_getfd(stream_.get()), POLLRDHUP, 0};
+    const bool told = ::poll(&state, 1, 0) > 0;
+    return told && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 // Of the last answers, in the kernel; a connection that has none to tell is
 // taken for one that has delivered all.
 int caller_connection::undelivered_bytes() const
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -502,16 +502,12 @@
     ::close(socket);
 }
 
-// Our close met bytes that it went on sending, which reset the connection: what
-// the kernel had not delivered of the answer was lost.
-TEST(CallerServer, ASlowCallerThatGoesOnSendingGetsItsLastAnswer)
+constexpr std::size_t kernel_answer = 1024 * 1024; // the kernel takes all of it
+
+/// A caller that reads nothing for a while, and goes on sending, gets the whole
+/// answer of before.
+void expect_delivery_while_sending(served& s, int socket)
 {
-    served s;
-    const auto socket = connect_slowly(s.where);
-    s.await(1);
-    s.server.announce_close();
-    constexpr std::size_t length = 1024 * 1024; // the kernel takes all of it
-    s.held[0]->reply(200, {}, std::string(length, 'x'));
     evutil_make_socket_nonblocking(socket);
     const std::string_view request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     timer send(s.loop, [&] {
@@ -519,12 +515,48 @@
     });
     send.start_every(10ms);
     run_for(s.loop, 2200ms);
-    EXPECT_GT(read_to_the_end(s.loop, socket), length);
+    EXPECT_GT(read_to_the_end(s.loop, socket), kernel_answer);
     EXPECT_EQ(s.requests.size(), 1u);
     ::close(socket);
     run_until(s.loop, [&] { return s.server.connections() == 0; });
 }
 
+// Our close met bytes that it went on sending, which reset the connection: what
+// the kernel had not delivered of the answer was lost.
+TEST(CallerServer, ASlowCallerThatGoesOnSendingGetsItsLastAnswer)
+{
+    served s;
+    const auto socket = connect_slowly(s.where);
+    s.await(1);
+    s.server.announce_close();
+    s.held[0]->reply(200, {}, std::string(kernel_answer, 'x'));
+    expect_delivery_while_sending(s, socket);
+}
+
+// Between two requests it was closed at once, with the same loss.
+TEST(CallerServer, ASlowCallerGetsItsAnswerWhenTheServerCloses)
+{
+    served s;
+    const auto socket = connect_slowly(s.where);
+    s.await(1);
+    s.held[0]->reply(200, {}, std::string(kernel_answer, 'x'));
+    run_for(s.loop, 50ms);
+    s.server.stop_accepting();
+    expect_delivery_while_sending(s, socket);
+}
+
+TEST(CallerServer, ASlowCallerGetsItsAnswerAfterTheIdleTimeout)
+{
+    caller_server_limits limits;
+    limits.idle_timeout = 100ms;
+    served s(limits);
+    const auto socket = connect_slowly(s.where);
+    s.await(1);
+    s.held[0]->reply(200, {}, std::string(kernel_answer, 'x'));
+    run_for(s.loop, 1300ms);
+    expect_delivery_while_sending(s, socket);
+}
+
 // Request 3 was passed on and then cut: the answer to 2, which was ready
 // before that to 1, had already said that it is the last.
 TEST(CallerServer, NothingIsReadOnceAnAnswerSaysThatItIsTheLast)
