See a caller go while its body waits for room

What was seen: by a test only. A caller that sent a request and a large body behind it, and left while the body waited for room, was kept for up to 5 s with the work for its first request (GONE allows half a second). Found on reading the change again.

Cause: stops reading from the connection, and libevent tells of an end only while it reads.

Ruled out: reading on while it waits, as the bytes would be held in memory, which is what the room bounds.

Conclusion: a paused connection still sees its end. Up to half a second late.

--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -225,6 +225,10 @@
 
 void caller_connection::check_waiting(time_point now)
 {
+    if (has_caller_closed()) {
+        end();
+        return;
+    }
     if (now - waits_since_ <= host_.limits.room_timeout)
         return;
     stop_waiting();
--- a/test/caller_server.cpp
+++ b/test/caller_server.cpp
@@ -908,6 +908,26 @@
 }
 
 // Room that nobody uses any more must not be lost.
+// Nothing is read while its body waits for room, so its end went unseen for as
+// long, and the work on its other requests went on.
+TEST(CallerServer, ACallerThatGoesWhileItsBodyWaitsForRoomIsSeen)
+{
+    served s(little_room());
+    auto first = s.connect();
+    first->send(upload_head(250'000) + std::string(100'000, 'x'));
+    auto second = s.connect();
+    run_for(s.loop, 20ms);
+    second->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" + upload_head(250'000) +
+                 std::string(100'000, 'x'));
+    s.await(1);
+    bool gone = false;
+    s.held[0]->on_gone([&] { gone = true; });
+    run_for(s.loop, 20ms);
+    second->close();
+    run_for(s.loop, 550ms); // less than the time-out of the room
+    EXPECT_TRUE(gone);
+}
+
 TEST(CallerServer, CallersThatGoLeaveTheirRoomToOthers)
 {
     constexpr std::size_t size = 200'000;
