Give the default of the memory setting a reason of its own

Change: 400, whose sixth holds one body of the default limit of 64 MiB, nearly to the megabyte (66.7 of 67.1); a larger body is let in alone.

--- a/apps/router/router_settings.hpp
+++ b/apps/router/router_settings.hpp
@@ -39,7 +39,9 @@
     /// For how long callers may cache an answer of the directory.
     duration answer_lifetime = std::chrono::seconds(2);
     retry_budget_settings repeats;
-    double memory_limit_mb = 390; ///< of this process, in 10^6 bytes
+    /// Of this process, in 10^6 bytes; by default enough for one body of the
+    /// default limit beside everything else.
+    double memory_limit_mb = 400;
     io::log_level log_level = io::log_level::info;
     int log_lines_per_second = 60;
 };
