Take the length of a turn from the route's work

Ruled out: a longer constant, which callers of short requests would wait for.

Change: twice the expected work of the route, 250 ms at least; two turns at most for each request. crash_suspects keeps when a turn began, and is told its length.

Conclusion: the wait follows the route.

--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -21,9 +21,14 @@
 constexpr double check_interval_share = 0.25;
 constexpr duration min_check_interval = 25ms;
 constexpr int max_checks = 10;
-/// Suspicion after a single end is weak, so a request waits no longer for the
-/// result of another.
-constexpr duration max_turn_wait = 500ms;
+/// A request that may have ended a target has its turn for its expected work
+/// times this, as its new target may be slow.
+constexpr double turn_work_factor = 2;
+/// How soon a target ends under a request does not depend on its usual work.
+constexpr duration min_turn = 250ms;
+/// Suspicion after a single end is weak, so a request waits for so many turns
+/// of others at most.
+constexpr int max_turns_waited = 2;
 /// A new attempt is expected to take this many times its work on an idle
 /// target.
 constexpr double new_attempt_factor = 1.1;
@@ -158,9 +163,11 @@
         return true;
     const auto now = context_.loop.now();
     const auto work = context_.statistics.expected_work(rule_);
-    const auto latest = std::min(arrived_ + max_turn_wait, objective_ - work);
+    const auto turn = std::max(scaled(work, turn_work_factor), min_turn);
+    const auto latest =
+        std::min(arrived_ + turn * max_turns_waited, objective_ - work);
     has_turn_ = now >= latest || context_.crashes.suspects().takes_turn(
-                                     identity_of(request_), now);
+                                     identity_of(request_), turn, now);
     if (has_turn_)
         placeable_since_ = now;
     return has_turn_;
--- a/include/vanillapost/src/attempts/crash_suspects.hpp
+++ b/include/vanillapost/src/attempts/crash_suspects.hpp
@@ -76,7 +76,9 @@
     /// While one target has ended under a request, one like it is sent at a
     /// time: whether it is this one's turn. The first turn is that of the
     /// request itself, which is repeated.
-    bool takes_turn(std::string_view request, time_point now);
+    /// \param length  of a turn: in most cases a request has been answered, or
+    ///                has ended its target, after this time
+    bool takes_turn(std::string_view request, duration length, time_point now);
 
     /// Whether it has been held back, until now or until its latest trial.
     bool was_held(std::string_view request) const;
@@ -127,7 +129,7 @@
         std::size_t ends = 0;
         time_point last_accused{};
         time_point held_until{};
-        time_point turn_until{}; ///< of the one that is sent meanwhile
+        time_point turn_began{}; ///< of the one that is sent meanwhile
     };
 
     struct lost_connection
--- a/src/attempts/crash_suspects.cpp
+++ b/src/attempts/crash_suspects.cpp
@@ -30,9 +30,6 @@
 /// A request that is let through has ended its target, or was answered, after
 /// this time in most cases.
 constexpr duration trial_time = 2s;
-/// In most cases a request has been answered, or has ended its target, after
-/// this time; callers behind it wait no longer.
-constexpr duration turn_time = 250ms;
 constexpr std::size_t max_remembered_targets = 8;
 constexpr std::size_t max_identity_bytes = 512;
 constexpr duration cleanup_interval = 1s;
@@ -150,7 +147,7 @@
         return false;
     auto& accused = entries_[where];
     if (accused.ends == 0 || is_forgotten(accused, now))
-        accused = {std::string(request), {}, 0, {}, {}, at + turn_time};
+        accused = {std::string(request), {}, 0, {}, {}, at};
     const bool known = std::ranges::any_of(
         accused.ended, [&](const auto& each) { return is_same(each, ended); });
     if (known)
@@ -272,7 +269,8 @@
     return crash_admission::trial;
 }
 
-bool crash_suspects::takes_turn(std::string_view request, time_point now)
+bool crash_suspects::takes_turn(std::string_view request, duration length,
+                                time_point now)
 {
     const auto found = entries_.find(hash(request));
     if (found == entries_.end() || is_explained(found->second))
@@ -280,9 +278,9 @@
     auto& suspected = found->second;
     if (suspected.ends >= ends_to_hold)
         return true;
-    if (now < suspected.turn_until)
+    if (now < suspected.turn_began + length)
         return false;
-    suspected.turn_until = now + turn_time;
+    suspected.turn_began = now;
     return true;
 }
 
--- a/test/crash_suspects.cpp
+++ b/test/crash_suspects.cpp
@@ -19,6 +19,7 @@
 const time_point start{100s};
 
 constexpr std::int64_t start_unix_ms = 5;
+constexpr duration turn = 250ms;
 
 void end_target(crash_suspects& suspects, const std::string& request,
                 const std::string& target, time_point now,
@@ -84,25 +85,27 @@
 TEST(CrashSuspects, OneThatIsSuspectedIsSentAtATime)
 {
     crash_suspects suspects(1);
-    EXPECT_TRUE(suspects.takes_turn("suspected", start));
+    EXPECT_TRUE(suspects.takes_turn("suspected", turn, start));
     end_target(suspects, "suspected", "t1", start);
     // The one that was in flight is repeated.
-    EXPECT_FALSE(suspects.takes_turn("suspected", start + 10ms));
-    EXPECT_TRUE(suspects.takes_turn("other", start + 10ms));
-    EXPECT_TRUE(suspects.takes_turn("suspected", start + 300ms));
-    EXPECT_FALSE(suspects.takes_turn("suspected", start + 301ms));
+    EXPECT_FALSE(suspects.takes_turn("suspected", turn, start + 10ms));
+    EXPECT_TRUE(suspects.takes_turn("other", turn, start + 10ms));
+    EXPECT_TRUE(suspects.takes_turn("suspected", turn, start + 300ms));
+    EXPECT_FALSE(suspects.takes_turn("suspected", turn, start + 301ms));
+    // Of a route whose requests take long it lasts longer.
+    EXPECT_FALSE(suspects.takes_turn("suspected", 4s, start + 3s));
     suspects.release("suspected");
-    EXPECT_TRUE(suspects.takes_turn("suspected", start + 302ms));
+    EXPECT_TRUE(suspects.takes_turn("suspected", turn, start + 302ms));
 }
 
 TEST(CrashSuspects, WhatAPeerSawSuspectedWaitsForThePeer)
 {
     crash_suspects suspects(1);
     suspects.on_peer_report({"suspected", "t1", start_unix_ms, {}}, start);
-    EXPECT_FALSE(suspects.takes_turn("suspected", start + 10ms));
+    EXPECT_FALSE(suspects.takes_turn("suspected", turn, start + 10ms));
     // News that comes late holds nobody up.
     suspects.on_peer_report({"late", "t1", start_unix_ms, 1s}, start);
-    EXPECT_TRUE(suspects.takes_turn("late", start + 10ms));
+    EXPECT_TRUE(suspects.takes_turn("late", turn, start + 10ms));
 }
 
 // Others in flight beside it explain nothing, so their turns would take long.
@@ -111,9 +114,9 @@
     crash_suspects suspects(1);
     end_target(suspects, "guilty", "t1", start);
     end_target(suspects, "innocent", "t1", start);
-    EXPECT_FALSE(suspects.takes_turn("innocent", start + 1ms));
+    EXPECT_FALSE(suspects.takes_turn("innocent", turn, start + 1ms));
     end_target(suspects, "guilty", "t2", start + 2ms);
-    EXPECT_TRUE(suspects.takes_turn("innocent", start + 3ms));
+    EXPECT_TRUE(suspects.takes_turn("innocent", turn, start + 3ms));
 }
 
 TEST(CrashSuspects, WhatPeersSawCountsLikeOwnSight)
@@ -216,7 +219,7 @@
     static constexpr duration latency = 2ms;      ///< between instances
     static constexpr duration repeat_news = 50ms; ///< as `crash_relay` does
     static constexpr duration recheck = 10ms;     ///< of one that waits
-    static constexpr duration max_wait = 500ms;
+    static constexpr duration max_wait = 2 * turn;
 
     struct flight
     {
@@ -293,7 +296,7 @@
                 });
             const bool waits = admission == crash_admission::allowed &&
                                attempt == 0 && waited < max_wait &&
-                               !instance.takes_turn(name, now_);
+                               !instance.takes_turn(name, turn, now_);
             if (waits) {
                 waited_popular += request == "popular" ? recheck : 0ms;
                 after(recheck, [this, at, request, waited] {
