Read organisations, their keys and quotas from the configuration

Two customers' configurations name organisations: who calls, with which keys, at which priority and up to which rate over all instances. Nothing of it was read. The configuration now holds them; absent means that callers need no key. A key's bytes stay out of errors, as these are logged. What uses them follows in commits of its own; nothing is served differently yet.

--- a/include/vanillapost/src/base/identifier.hpp
+++ b/include/vanillapost/src/base/identifier.hpp
@@ -26,6 +26,7 @@
 using target_id = identifier<struct target_tag>;
 using service_id = identifier<struct service_tag>;
 using data_centre_id = identifier<struct data_centre_tag>;
+using organisation_id = identifier<struct organisation_tag>;
 
 /// Name of an entry instance, stable over restarts.
 using entry_id = identifier<struct entry_tag>;
--- a/include/vanillapost/src/routes/configuration.hpp
+++ b/include/vanillapost/src/routes/configuration.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,7 @@
     duration latency_objective{};  ///< 0: none
     int max_attempts = 1;          ///< targets for one caller's attempt
     int priority = 0;              ///< 0 is the most urgent
+    bool is_public = false;        ///< callers need no key
 
     bool operator==(const route&) const = default;
 };
@@ -74,11 +76,33 @@
     bool operator==(const caller_limits&) const = default;
 };
 
+/// Requests that an organisation may send through all instances together.
+struct quota
+{
+    double requests_per_second = 0; ///< 0: no limit
+    double burst = 0;               ///< requests beyond the rate, at once
+
+    bool operator==(const quota&) const = default;
+};
+
+/// A customer whose callers identify themselves by an API key.
+struct organisation
+{
+    organisation_id id;
+    std::vector<std::string> keys; ///< none: it has lost access
+    std::optional<int> priority;   ///< takes precedence over that of the route
+    quota limit;
+
+    bool operator==(const organisation&) const = default;
+};
+
 /// Everything that operators configure, at one version.
 struct configuration
 {
     std::uint64_t version = 0;
     caller_limits limits;
+    /// Nullopt: callers need no key.
+    std::optional<std::vector<organisation>> organisations;
     std::vector<route> routes;
     std::vector<service_settings> services;
 
--- a/src/routes/configuration.cpp
+++ b/src/routes/configuration.cpp
@@ -25,6 +25,7 @@
     std::vector<field_problem> run()
     {
         check_services();
+        check_organisations();
         for (const auto& each : config_.routes)
             check_route(each);
         return std::move(problems_);
@@ -41,6 +42,23 @@
         }
     }
 
+    void check_organisations()
+    {
+        if (!config_.organisations)
+            return;
+        std::set<organisation_id> names;
+        std::set<std::string> keys;
+        for (const auto& each : *config_.organisations) {
+            const std::string field = "organisations." + each.id.value;
+            if (each.id.empty() || !names.insert(each.id).second)
+                note(field, "empty or twice", "a name of its own");
+            for (const auto& key : each.keys)
+                if (!keys.insert(key).second)
+                    note(field + ".keys", "a key that stands twice",
+                         "keys of its own");
+        }
+    }
+
     void check_route(const route& rule)
     {
         const std::string field = "routes." + rule.name;
