Identify callers by the API keys of organisations

Cause: a configuration may name organisations. No line of the product knew one: the caller's key went to targets as it came, targets were not told whose caller asks, and a request with a key that nobody holds ran.

Change: a filter behind the one that finds the route looks the key up by a hash of all its bytes, refuses an unknown one with 401 (503 while a newer configuration may be in force), removes the key and any organisation that the caller names, and the target's message says the organisation where the caller's Connection header cannot remove it. A peer that a request is relayed to gets the key and identifies the caller again. An organisation's priority goes before the route's in the order of those that wait.

--- a/apps/router/adapters/platform_adapter.hpp
+++ b/apps/router/adapters/platform_adapter.hpp
@@ -27,6 +27,7 @@
     std::string load;            ///< load report of a target
     std::string instance_id;     ///< of a target, in answers to probes
     std::string rate_limit;      ///< requests per second that a target accepts
+    std::string organisation;    ///< tells a target whose caller asks
 };
 
 /// The state that a target reports, beside its load.
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -81,6 +81,11 @@
       unrouted_(make_counters(registry_, "vanillapost_unrouted_requests_total",
                               "Requests for which no route is known")
                     .Add({})),
+      unauthorized_(make_counters(registry_,
+                                  "vanillapost_unauthorized_requests_total",
+                                  "Requests without a key, or with an unknown "
+                                  "one, on routes that need it")
+                        .Add({})),
       callback_failures_(make_counters(registry_,
                                        "vanillapost_callback_failures_total",
                                        "Failures that reached the event loop")
@@ -211,6 +216,11 @@
     unrouted_.Increment();
 }
 
+void router_metrics::count_unauthorized()
+{
+    unauthorized_.Increment();
+}
+
 void router_metrics::count_callback_failure()
 {
     callback_failures_.Increment();
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -53,6 +53,7 @@
     /// have ended, has its result.
     void count_turn_wait();
     void count_unrouted();
+    void count_unauthorized();
     /// Counts a callback of the event loop that has thrown.
     void count_callback_failure();
     /// Counts a row that was left out because it cannot be parsed.
@@ -120,6 +121,7 @@
     prometheus::Family<prometheus::Counter>& crash_reports_;
     prometheus::Counter& turn_waits_;
     prometheus::Counter& unrouted_;
+    prometheus::Counter& unauthorized_;
     prometheus::Counter& callback_failures_;
     prometheus::Family<prometheus::Counter>& unreadable_rows_;
     prometheus::Family<prometheus::Counter>& state_questions_;
--- a/apps/router/requests/problem.cpp
+++ b/apps/router/requests/problem.cpp
@@ -13,6 +13,8 @@
     switch (status) {
     case status_bad_request:
         return "Bad Request";
+    case status_unauthorized:
+        return "Unauthorized";
     case status_not_found:
         return "Not Found";
     case status_request_timeout:
@@ -46,6 +48,8 @@
         headers.push_back(
             {"Retry-After", adapter.write_retry_after(*value.retry_after)});
     }
+    if (value.status == status_unauthorized)
+        headers.push_back({"WWW-Authenticate", "Bearer"});
     // Request ids of callers may contain bytes that are not valid UTF-8.
     exchange.reply(
         value.status, headers,
--- a/apps/router/requests/problem.hpp
+++ b/apps/router/requests/problem.hpp
@@ -12,6 +12,7 @@
 namespace vanillapost::router {
 
 inline constexpr int status_bad_request = 400;
+inline constexpr int status_unauthorized = 401;
 inline constexpr int status_not_found = 404;
 inline constexpr int status_request_timeout = 408;
 inline constexpr int status_conflict = 409;
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -61,8 +61,9 @@
     created->report_age = target_info->report_age(now);
     created->revision = context_.cluster.targets_revision();
     io::target_call_request request;
-    request.bytes = format_target_message(
-        request_, *record, context_.adapter.headers, deadline_ - now);
+    request.bytes =
+        format_target_message(request_, *record, context_.adapter.headers,
+                              deadline_ - now, organisation_);
     request.id = id_;
     request.head_only = request_.method == "HEAD";
     request.is_wanted = [this, target = place.target] {
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -123,6 +123,8 @@
 {
     if (why.status == status_not_found)
         metrics_.count_unrouted();
+    if (why.status == status_unauthorized)
+        metrics_.count_unauthorized();
     log_.request(
         io::log_level::warning, "request_refused",
         {{"request_id", request.id},
--- a/apps/router/requests/request_filters.cpp
+++ b/apps/router/requests/request_filters.cpp
@@ -17,6 +17,7 @@
 constexpr duration retry_after_unconfigured = std::chrono::milliseconds(500);
 constexpr std::int64_t max_time_left_ms = 3'600'000;
 constexpr std::string_view key_header = "Idempotency-Key";
+constexpr std::string_view authorization_header = "Authorization";
 
 problem refusal(int status, std::string_view step, std::string_view detail)
 {
@@ -34,6 +35,17 @@
     return result;
 }
 
+/// Removes all headers of a name.
+/// \return the value of the first one, or "" if there is none
+std::string take_header(io::header_list& headers, std::string_view name)
+{
+    const std::string value(io::find_header(headers, name).value_or(""));
+    std::erase_if(headers, [&](const auto& field) {
+        return io::same_header_name(field.name, name);
+    });
+    return value;
+}
+
 } // namespace
 
 std::optional<problem>
@@ -60,9 +72,7 @@
         return std::nullopt;
     request.is_relayed = true;
     request.relayed_attempts = parse_relayed_attempts(*relayed_by);
-    std::erase_if(request.message.headers, [](const auto& field) {
-        return io::same_header_name(field.name, relayed_by_header);
-    });
+    take_header(request.message.headers, relayed_by_header);
     return std::nullopt;
 }
 
@@ -98,6 +108,32 @@
     return std::nullopt;
 }
 
+std::optional<problem>
+organisation_filter::operator()(incoming_request& request,
+                                const filter_context& context) const
+{
+    const auto& routes = context.cluster.routes();
+    if (!routes.needs_keys())
+        return std::nullopt;
+    request.authorization =
+        take_header(request.message.headers, authorization_header);
+    take_header(request.message.headers, context.adapter.headers.organisation);
+    const auto key = parse_bearer_token(request.authorization);
+    const auto* found = key ? routes.find_organisation(*key) : nullptr;
+    if (found) {
+        request.organisation = found->id;
+        request.organisation_priority = found->priority;
+        return std::nullopt;
+    }
+    if (request.rule.is_public)
+        return std::nullopt;
+    if (key && !context.has_newest_configuration())
+        return unconfigured("the key is unknown, and a newer configuration "
+                            "may be in force");
+    return refusal(status_unauthorized, "organisation",
+                   key ? "the key is unknown" : "the request has no key");
+}
+
 std::optional<problem>
 deadline_filter::operator()(incoming_request& request,
                             const filter_context& context) const
@@ -179,10 +215,16 @@
 std::optional<problem> run_filters(incoming_request& request,
                                    const filter_context& context)
 {
-    static const std::array<request_filter, 8> filters = {
-        id_filter{},       relay_filter{},    configured_filter{},
-        route_filter{},    deadline_filter{}, idempotency_key_filter{},
-        shutdown_filter{}, crash_filter{}};
+    static const std::array<request_filter, 9> filters = {
+        id_filter{},
+        relay_filter{},
+        configured_filter{},
+        route_filter{},
+        organisation_filter{},
+        deadline_filter{},
+        idempotency_key_filter{},
+        shutdown_filter{},
+        crash_filter{}};
     for (const auto& filter : filters) {
         auto refused = std::visit(
             [&](const auto& each) { return each(request, context); }, filter);
--- a/apps/router/requests/request_filters.hpp
+++ b/apps/router/requests/request_filters.hpp
@@ -23,6 +23,13 @@
     time_point begun{}; ///< it may have waited behind another until then
     std::optional<duration> time_left; ///< until the caller's deadline
     std::string idempotency_key;       ///< idempotency key; empty if none
+    /// Whose key the caller has; nullopt if callers need none.
+    std::optional<organisation_id> organisation;
+    /// `Authorization` as the caller sent it, for a peer that the request is
+    /// relayed to; targets do not get it.
+    std::string authorization;
+    /// Priority of the organisation, which goes before that of the route.
+    std::optional<int> organisation_priority;
     bool is_trial = false;   ///< requests like it end their targets, or did
     bool is_relayed = false; ///< by a peer that reaches no target
     /// Number of targets that the peer lets it run on, if it says so.
@@ -72,6 +79,14 @@
                                       const filter_context& context) const;
 };
 
+/// Finds the organisation of the caller by its key, where callers need one, and
+/// removes the key and any organisation that the caller names.
+struct organisation_filter
+{
+    std::optional<problem> operator()(incoming_request& request,
+                                      const filter_context& context) const;
+};
+
 /// Reads the deadline header; refuses a request whose deadline has passed.
 struct deadline_filter
 {
@@ -103,8 +118,8 @@
 
 using request_filter =
     std::variant<id_filter, relay_filter, configured_filter, route_filter,
-                 deadline_filter, idempotency_key_filter, shutdown_filter,
-                 crash_filter>;
+                 organisation_filter, deadline_filter, idempotency_key_filter,
+                 shutdown_filter, crash_filter>;
 
 /// Why a request is refused under which targets have ended.
 inline constexpr std::string_view held_reason =
--- a/apps/router/requests/request_relay.cpp
+++ b/apps/router/requests/request_relay.cpp
@@ -62,7 +62,7 @@
     io::target_call_request request;
     request.bytes = format_relayed_request(
         request_, context_.cluster.members.self(), context_.adapter.headers,
-        deadline_ - now - peer_margin, tracker_.left());
+        deadline_ - now - peer_margin, tracker_.left(), authorization_);
     request.id = id_;
     request.head_only = request_.method == "HEAD";
     context_.metrics.count_attempt(service_, "relay");
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -46,8 +46,12 @@
                            incoming_request request, service_id service)
     : number_(number), context_(context), exchange_(std::move(exchange)),
       request_(std::move(request.message)), id_(std::move(request.id)),
-      rule_(std::move(request.rule)), is_trial_(request.is_trial),
-      is_relayed_(request.is_relayed),
+      rule_(std::move(request.rule)),
+      organisation_(std::move(request.organisation)),
+      authorization_(std::move(request.authorization)),
+      organisation_priority_(
+          request.organisation_priority.value_or(rule_.priority)),
+      is_trial_(request.is_trial), is_relayed_(request.is_relayed),
       claimed_(!request.idempotency_key.empty()), service_(std::move(service)),
       tracker_(may_repeat(rule_.kind),
                std::min(request.relayed_attempts.value_or(rule_.max_attempts),
@@ -90,12 +94,13 @@
 }
 
 // Requests that can still be answered in time come first, then those with the
-// lower `priority` number, then the older ones.
-std::tuple<bool, int, time_point> request_task::rank() const
+// lower `priority` number of the organisation and of the route, then the older
+// ones.
+std::tuple<bool, int, int, time_point> request_task::rank() const
 {
     const auto work = context_.statistics.expected_work(rule_);
     const bool late = context_.loop.now() + work > objective_;
-    return {late, rule_.priority, arrived_};
+    return {late, organisation_priority_, rule_.priority, arrived_};
 }
 
 duration request_task::waiting_limit() const
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -54,7 +54,7 @@
     }
 
     /// Sort key of waiting requests: the lowest gets the next free slot.
-    std::tuple<bool, int, time_point> rank() const;
+    std::tuple<bool, int, int, time_point> rank() const;
 
 private:
     enum class stage
@@ -160,6 +160,9 @@
     io::http_request request_;
     std::string id_;
     route rule_;
+    std::optional<organisation_id> organisation_;
+    std::string authorization_;
+    int organisation_priority_;
     bool is_trial_;         ///< sent although requests like it are held back
     bool has_turn_ = false; ///< of the suspected requests like it
     bool is_relayed_;       ///< a peer sent it, so it is not relayed again
--- a/apps/router/targets/target_message.cpp
+++ b/apps/router/targets/target_message.cpp
@@ -15,11 +15,12 @@
 constexpr std::string_view attempts_mark = ";attempts=";
 
 /// \param default_host  for a request without a `Host` header
-/// \param added         a header that the receiver gets in addition
+/// \param added         headers that the receiver gets in addition, which the
+///                      caller's `Connection` header cannot remove
 std::string format_message(const io::http_request& request,
                            std::string_view default_host,
                            const header_names& names, duration left,
-                           const io::header_field& added)
+                           const io::header_list& added)
 {
     const auto host = io::find_header(request.headers, "Host");
     const auto connection =
@@ -38,7 +39,8 @@
     }
     const auto left_ms = std::max<std::int64_t>(to_ms(left), 1);
     text += names.deadline_ms + ": " + std::to_string(left_ms) + "\r\n";
-    text += added.name + ": " + added.value + "\r\n";
+    for (const auto& field : added)
+        text += field.name + ": " + field.value + "\r\n";
     const bool has_length =
         !request.body.empty() ||
         io::find_header(request.headers, "Content-Length").has_value();
@@ -50,23 +52,29 @@
 
 } // namespace
 
-std::string format_target_message(const io::http_request& request,
-                                  const listed_target& target,
-                                  const header_names& names, duration left)
+std::string
+format_target_message(const io::http_request& request,
+                      const listed_target& target, const header_names& names,
+                      duration left,
+                      const std::optional<organisation_id>& organisation)
 {
-    return format_message(request, target.address, names, left,
-                          {names.target_instance, target.id.value});
+    io::header_list added = {{names.target_instance, target.id.value}};
+    if (organisation)
+        added.push_back({names.organisation, organisation->value});
+    return format_message(request, target.address, names, left, added);
 }
 
 std::string format_relayed_request(const io::http_request& request,
                                    const member& self,
                                    const header_names& names, duration left,
-                                   int attempts)
+                                   int attempts, std::string_view authorization)
 {
     const auto value =
         self.name.value + std::string(attempts_mark) + std::to_string(attempts);
-    return format_message(request, self.caller_address, names, left,
-                          {std::string(relayed_by_header), value});
+    io::header_list added = {{std::string(relayed_by_header), value}};
+    if (!authorization.empty())
+        added.push_back({"Authorization", std::string(authorization)});
+    return format_message(request, self.caller_address, names, left, added);
 }
 
 std::optional<int> parse_relayed_attempts(std::string_view relayed_by)
--- a/include/vanillapost/src/routes/route_table.hpp
+++ b/include/vanillapost/src/routes/route_table.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_SRC_ROUTES_ROUTE_TABLE_HPP
 
 #include "configuration.hpp"
+#include "key_index.hpp"
 
 #include <functional>
 #include <map>
@@ -26,6 +27,15 @@
 
     const service_settings* service(const service_id& id) const;
 
+    /// Whether callers need a key on routes that are not public.
+    bool needs_keys() const
+    {
+        return config_.organisations.has_value();
+    }
+
+    /// The organisation that holds a key; null if none does.
+    const organisation* find_organisation(std::string_view key) const;
+
     const configuration& config() const
     {
         return config_;
@@ -41,6 +51,7 @@
     configuration config_;
     std::map<std::string, by_prefix, std::less<>> hosts_;
     std::map<service_id, std::size_t> services_;
+    key_index keys_;
 };
 
 } // namespace vanillapost
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -27,6 +27,8 @@
     }
     for (std::size_t i = 0; i < config_.services.size(); ++i)
         services_.emplace(config_.services[i].id, i);
+    if (config_.organisations)
+        keys_ = key_index(*config_.organisations);
 }
 
 const route* route_table::find(std::string_view host,
@@ -62,4 +64,10 @@
     return &config_.services[found->second];
 }
 
+const organisation* route_table::find_organisation(std::string_view key) const
+{
+    const auto found = keys_.find(key);
+    return found ? &(*config_.organisations)[*found] : nullptr;
+}
+
 } // namespace vanillapost
--- a/test/platform/fleet.py
+++ b/test/platform/fleet.py
@@ -40,6 +40,7 @@
     objective_ms: int = 400
     attempts: int = 2
     split: str = ""  # a second service that gets a third of the requests
+    public: bool = False
 
     @property
     def services(self):
@@ -181,6 +182,7 @@
         self.version = 1
         self.routes = list(ROUTES)
         self.added = 0  # routes beyond these
+        self.organisations = None  # as the configuration has them
         self._wanted = (routers, targets_per_zone)
         self._proxied = proxied
         self._relayed = relayed
@@ -285,10 +287,13 @@
     def make_config(self):
         rules = [{"name": r.name, "kind": r.kind, "priority": 1,
                   "targetLatency": f"{r.objective_ms}ms",
+                  "public": r.public,
                   "match": {"prefix": r.prefix},
                   "action": r.action()}
                  for r in self.routes]
-        return {"version": f"r{self.version}",
+        named = {} if self.organisations is None else {
+            "tenants": self.organisations}
+        return {"version": f"r{self.version}", **named,
                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
                            "headerTimeout": "3000ms", "idleTimeout": "15s"},
                 "listeners": [{"host": "shop.example", "rules": rules}],
--- a/test/platform/target.py
+++ b/test/platform/target.py
@@ -10,6 +10,7 @@
 
 ID = "X-Vanillapost-Attempt-Id"
 SEAL = "X-Vanillapost-Response-Seal"
+ORGANISATION = "X-Vanillapost-Tenant"
 COLD_ROOM = 5  # requests beyond the rate that a cold target still bears
 ODD_LOADS = ("", "1", "a,b,c", "-1,-5,0", ",,,,", "1,1,0,0", "nan,inf,1",
              "99999999999999999999,1,1", "0,0,2147483647,1", "1;2;3",
@@ -50,6 +51,8 @@
     first: bool
     zone: str = ""
     arrived: float = 0.0
+    organisation: tuple = ()  # each value of the header that names it
+    has_key: bool = False
 
 
 class Target:
@@ -272,7 +275,10 @@
         now = time.monotonic()
         self._truth.note_run(Run(
             now, attempt_id, self.service, self.id, request.method,
-            request.target, request.body, False, self.zone, arrived))
+            request.target, request.body, False, self.zone, arrived,
+            tuple(value for name, value in request.headers
+                  if name.lower() == ORGANISATION.lower()),
+            request.header("Authorization") is not None))
         if now < self.cold_until:
             self._recent = [t for t in self._recent if t > now - 1] + [now]
             if len(self._recent) > self.cold_per_s * 1.5 + COLD_ROOM:
--- a/test/platform_decode.cpp
+++ b/test/platform_decode.cpp
@@ -49,6 +49,53 @@
     EXPECT_DOUBLE_EQ(config.services[0].cold_requests_per_second, 3.4);
 }
 
+TEST(PlatformDecode, OrganisationsHaveKeysAPriorityAndAQuota)
+{
+    auto document = nlohmann::json::parse(config_text);
+    EXPECT_FALSE(decode_configuration(config_text).organisations);
+    document["tenants"] = nlohmann::json::parse(R"([
+        {"name":"o1","apiKeys":["k1","k2"],"priority":3,"ratePerS":25.5,
+         "burstSize":30},
+        {"name":"o2","apiKeys":[]}])");
+    document["listeners"][0]["rules"][1]["public"] = true;
+    const auto config = decode_configuration(document.dump());
+    ASSERT_TRUE(config.organisations);
+    ASSERT_EQ(config.organisations->size(), 2u);
+    const auto& one = config.organisations->front();
+    EXPECT_EQ(one.id.value, "o1");
+    EXPECT_EQ(one.keys, (std::vector<std::string>{"k1", "k2"}));
+    EXPECT_EQ(one.priority, 3);
+    EXPECT_EQ(one.limit, (quota{25.5, 30}));
+    EXPECT_EQ(config.organisations->back().limit, quota{});
+    EXPECT_FALSE(config.organisations->back().priority);
+    EXPECT_FALSE(config.routes[0].is_public);
+    EXPECT_TRUE(config.routes[1].is_public);
+}
+
+// The error is logged, and a key must not be.
+TEST(PlatformDecode, UnusableOrganisationsAreRefusedWithoutTheirKeys)
+{
+    for (const auto* tenants :
+         {R"([{"name":"o","apiKeys":["sec\u0000ret"]}])",
+          R"([{"name":"o","apiKeys":["sec ret"]}])",
+          R"([{"name":"a","apiKeys":["secret"]},
+              {"name":"b","apiKeys":["secret"]}])",
+          R"([{"name":"o","apiKeys":[7]}])", R"([{"name":"o"}])",
+          R"([{"name":"o p","apiKeys":[]}])", R"([{"apiKeys":[]}])",
+          R"([{"name":"o","apiKeys":[],"ratePerS":-1}])", R"({})", R"([3])"}) {
+        auto document = nlohmann::json::parse(config_text);
+        document["tenants"] = nlohmann::json::parse(tenants);
+        try {
+            decode_configuration(document.dump());
+            ADD_FAILURE() << tenants;
+        } catch (const error& failure) {
+            EXPECT_EQ(std::string(failure.what()).find("sec"),
+                      std::string::npos)
+                << failure.what();
+        }
+    }
+}
+
 TEST(PlatformDecode, ATargetsRowBecomesAListedTarget)
 {
     const auto target = decode_target("i-1", target_text);
--- a/test/routes.cpp
+++ b/test/routes.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 using namespace vanillapost;
 
@@ -128,4 +129,64 @@
         EXPECT_EQ(picker.pick(rule).value, "t");
 }
 
+organisation make_organisation(const std::string& name,
+                               std::vector<std::string> keys)
+{
+    organisation made;
+    made.id.value = name;
+    made.keys = std::move(keys);
+    return made;
+}
+
+TEST(Routes, AKeyFindsItsOrganisation)
+{
+    auto config = make_configuration({make_route("a", "/x/")});
+    config.organisations = {make_organisation("one", {"k1", "k2"}),
+                            make_organisation("two", {"k3"}),
+                            make_organisation("none", {})};
+    const route_table table(config);
+    EXPECT_TRUE(table.needs_keys());
+    ASSERT_TRUE(table.find_organisation("k2"));
+    EXPECT_EQ(table.find_organisation("k2")->id.value, "one");
+    EXPECT_EQ(table.find_organisation("k3")->id.value, "two");
+    for (const auto* unknown : {"", "k", "k11", "K1", "k4"})
+        EXPECT_FALSE(table.find_organisation(unknown)) << unknown;
+}
+
+TEST(Routes, WithoutOrganisationsCallersNeedNoKey)
+{
+    const route_table table(make_configuration({make_route("a", "/x/")}));
+    EXPECT_FALSE(table.needs_keys());
+    EXPECT_FALSE(table.find_organisation("k"));
+}
+
+TEST(Routes, OrganisationsThatShareAKeyAreRefused)
+{
+    auto config = make_configuration({make_route("a", "/x/")});
+    config.organisations = {make_organisation("one", {"k1"}),
+                            make_organisation("two", {"k1"})};
+    EXPECT_THROW(check_configuration(config), field_error);
+    config.organisations = {make_organisation("one", {"k1"}),
+                            make_organisation("one", {"k2"})};
+    EXPECT_THROW(check_configuration(config), field_error);
+}
+
+TEST(Routes, ABearerTokenIsTheWordBehindItsScheme)
+{
+    EXPECT_EQ(parse_bearer_token("Bearer k1"), "k1");
+    EXPECT_EQ(parse_bearer_token("bearer  k1 "), "k1");
+    for (const auto* header : {"", "Bearer", "Bearer ", "Basic k1", "Bearerk1"})
+        EXPECT_FALSE(parse_bearer_token(header)) << header;
+}
+
+RC_GTEST_PROP(Routes, OnlyWholeKeysAreFound,
+              (std::set<std::string> keys, std::string other))
+{
+    const auto one = make_organisation("o", {keys.begin(), keys.end()});
+    const key_index index({&one, 1});
+    RC_ASSERT(index.find(other).has_value() == keys.contains(other));
+    for (const auto& key : keys)
+        RC_ASSERT(index.find(key) == 0u);
+}
+
 } // namespace
--- a/test/target_message.cpp
+++ b/test/target_message.cpp
@@ -16,6 +16,7 @@
     names.target_instance = "Only";
     names.seal = "Proof";
     names.not_executed = "Not-Run";
+    names.organisation = "For";
     return names;
 }
 
@@ -37,7 +38,7 @@
     const io::http_request request{
         "POST", "/a?b=c", {{"Host", "h"}, {"Id", "7"}, {"X", "y"}}, "body"};
     const auto text =
-        format_target_message(request, make_target(), make_names(), 250ms);
+        format_target_message(request, make_target(), make_names(), 250ms, {});
     EXPECT_TRUE(text.starts_with("POST /a?b=c HTTP/1.1\r\nHost: h\r\n"));
     EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
     for (const auto* line : {"Id: 7\r\n", "X: y\r\n", "Left: 250\r\n",
@@ -45,6 +46,18 @@
         EXPECT_TRUE(has(text, line)) << line;
 }
 
+// A caller's Connection header names headers that are not passed on; it must
+// not be able to remove what tells the target whose caller asks.
+TEST(TargetMessage, NamesTheOrganisationWhateverTheCallerSays)
+{
+    const io::http_request request{
+        "GET", "/", {{"Host", "h"}, {"Connection", "For, Only"}}, ""};
+    const auto text = format_target_message(
+        request, make_target(), make_names(), 250ms, organisation_id{"o1"});
+    EXPECT_TRUE(has(text, "For: o1\r\n"));
+    EXPECT_TRUE(has(text, "Only: t1\r\n"));
+}
+
 // Headers that concern the caller's own connection, and headers that only the
 // router may set, must not be passed on to the target.
 TEST(TargetMessage, LeavesOutWhatConcernsOneConnectionOnly)
@@ -60,7 +73,7 @@
                                     {"only", "t2"}},
                                    ""};
     const auto text =
-        format_target_message(request, make_target(), make_names(), 1ms);
+        format_target_message(request, make_target(), make_names(), 1ms, {});
     for (const auto* part : {"close", "X-Own", "Keep-Alive", "chunked",
                              "100-continue", "99999", "t2", "Content-Length"})
         EXPECT_FALSE(has(text, part)) << part;
@@ -69,7 +82,7 @@
 TEST(TargetMessage, ADeadlineIsNeverSentAsZero)
 {
     const auto text =
-        format_target_message({}, make_target(), make_names(), -5ms);
+        format_target_message({}, make_target(), make_names(), -5ms, {});
     EXPECT_TRUE(has(text, "Left: 1\r\n"));
 }
 
@@ -105,10 +118,11 @@
         "POST", "/a", {{"Host", "h"}, {"Id", "7"}, {"only", "t2"}}, "body"};
     member self;
     self.name = {"r1"};
-    const auto text =
-        format_relayed_request(request, self, make_names(), 250ms, 2);
+    const auto text = format_relayed_request(request, self, make_names(), 250ms,
+                                             2, "Bearer k");
     for (const auto* line : {"Host: h\r\n", "Id: 7\r\n", "Left: 250\r\n",
-                             "Relayed-By: r1;attempts=2\r\n"})
+                             "Relayed-By: r1;attempts=2\r\n",
+                             "Authorization: Bearer k\r\n"})
         EXPECT_TRUE(has(text, line)) << line;
     EXPECT_FALSE(has(text, "only: "));
     EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
