--- a/test/target_message.cpp
+++ b/test/target_message.cpp
@@ -120,9 +120,9 @@
     self.name = {"r1"};
     const auto text = format_relayed_request(request, self, make_names(), 250ms,
                                              2, "Bearer k");
-    for (const auto* line : {"Host: h\r\n", "Id: 7\r\n", "Left: 250\r\n",
-                             "Relayed-By: r1;attempts=2\r\n",
-                             "Authorization: Bearer k\r\n"})
+    for (const auto* line :
+         {"Host: h\r\n", "Id: 7\r\n", "Left: 250\r\n",
+          "Relayed-By: r1;attempts=2\r\n", "Authorization: Bearer k\r\n"})
         EXPECT_TRUE(has(text, line)) << line;
     EXPECT_FALSE(has(text, "only: "));
     EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
