Take an answer whose status the protocol does not know for no answer

Cause: the reader took the status as it came, any number of up to three digits. Below 200 the link skipped the answer as an interim one: the call waited for a further answer until its time was up, and a body was read as that answer. Above 599 the status went to the caller, with the target's proof. A status of 000 was not handed to callers; 999 was.

Change: a status outside of 100 to 599 makes an answer malformed, for targets, probes and peers alike: the request may have run, the connection is closed, and target_answer_bad tells. The stand-in of a target can break all its answers in a named way; what the soak draws is as before.

--- a/src/io/http1_reader.cpp
+++ b/src/io/http1_reader.cpp
@@ -16,10 +16,20 @@
 /// its first line beside them.
 constexpr std::size_t separator_factor = 2;
 constexpr std::size_t first_line_slack = 1024;
+constexpr int first_status = 100;
+constexpr int last_status = 599;
 constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 
+// The parser takes any number of up to three digits.
+bool has_known_status(const http_parser& parser)
+{
+    const auto status = static_cast<int>(parser.status_code);
+    return parser.type != HTTP_RESPONSE ||
+           (status >= first_status && status <= last_status);
+}
+
 // These end with their head, whatever length it names.
 bool is_bodyless_answer(const http_parser& parser)
 {
@@ -243,7 +253,7 @@
     // What follows CONNECT is no HTTP: its body would be read as a request.
     const bool tunnel =
         parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT;
-    if (tunnel || !has_one_meaning(head))
+    if (tunnel || !has_known_status(*parser) || !has_one_meaning(head))
         return stop_parsing;
     head.status = static_cast<int>(parser->status_code);
     if (parser->type == HTTP_REQUEST)
--- a/test/platform/target.py
+++ b/test/platform/target.py
@@ -60,7 +60,8 @@
 
     Faults: `slow` multiplies work; `fail`, `lose`, `spoil` are shares of
     answers that are 500, lost after the run, or broken; `dark` is silence;
-    `stall` ("length" or "chunks", its framing) stops in the middle of a body;
+    `spoil_as` names how all answers are broken that are not lost; `stall`
+    ("length" or "chunks", its framing) stops in the middle of a body;
     `odd` is the share of nonsense in load headers and health answers. With
     `refuses` it says when it is full, and without it is silent then. With
     `leaves` all its answers say so, and with `pause` it turns all requests
@@ -82,6 +83,7 @@
         self.fail = self.lose = self.spoil = self.odd = 0.0
         self.dark = False
         self.stall = None
+        self.spoil_as = None
         self.refuses = False
         self.leaves = False
         self.pause = None
@@ -305,6 +307,12 @@
         start = f"HTTP/1.1 {status} X"
         if self.stall:
             return await self._stall(start, headers, body, writer)
+        if self.spoil_as:
+            writer.write(self._spoil_bytes(
+                self.spoil_as, start, headers, body,
+                wire.format_message(start, headers, body)))
+            await writer.drain()
+            return True
         if self._random.random() < self.spoil:
             return await self._spoil(start, headers, body, writer)
         writer.write(wire.format_message(start, headers, body))
@@ -361,6 +369,10 @@
             "headers": with_headers(("X\xff", "\xc1\x01"), ("Y", "y" * 70000)),
             "interim": b"HTTP/1.1 102 Wait\r\n\r\n" + whole,
             "bad_status": whole.replace(b"HTTP/1.1 ", b"HTTP/1.1 -", 1),
+            "status_000": whole.replace(b" 200 ", b" 000 ", 1),
+            "status_000_empty": wire.format_message(
+                "HTTP/1.1 000 X", headers, b""),
+            "status_999": whole.replace(b" 200 ", b" 999 ", 1),
             "bad_chunk": chunked + b"fffffffffffffffff\r\n" + body,
             "two_lengths": with_headers(("Content-Length", len(body) + 40)),
         }[kind]
--- a/test/platform/test_answers.py
+++ b/test/platform/test_answers.py
@@ -125,3 +125,62 @@
             assert fleet.truth.violations == []
 
     asyncio.run(scenario())
+
+
+async def ask_targets_without_a_status(fleet, router, names):
+    """One request each for a body, no body and a status of three nines."""
+    answers = []
+    for kind in ("status_000", "status_000_empty", "status_999"):
+        for target in fleet.targets_of(LOOKUP.service):
+            target.spoil_as = kind
+        name = f"{names}-{kind}"
+        fleet.truth.ask(name, LOOKUP.service, True).route = LOOKUP.name
+        fleet.truth.asked[name].router = router.front
+        ip, _, port = router.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(wire.format_message(
+            f"GET {LOOKUP.prefix}x HTTP/1.1",
+            [("Host", LOOKUP.host), (ID, name),
+             ("X-Vanillapost-Deadline-Ms", 2000)], length=False))
+        answers.append(await wire.read_message(reader, answer=True))
+        writer.close()
+        assert 1 <= len(fleet.truth.runs[name]) <= LOOKUP.attempts
+    for target in fleet.targets_of(LOOKUP.service):
+        target.spoil_as = None
+    return answers
+
+
+def are_own_failures(answers):
+    """502, and not the 504 of one that waited for a further answer."""
+    return all(answer.status == 502 and answer.header(SEAL) is None
+               for answer in answers)
+
+
+def test_an_answer_without_a_status_of_the_protocol_is_no_answer():
+    async def scenario():
+        async with Fleet(routers=1) as fleet:
+            await fleet.wait_ready()
+            router = fleet.routers[0]
+            assert are_own_failures(
+                await ask_targets_without_a_status(fleet, router, "direct"))
+            after = await fleet.caller("after").request(LOOKUP)
+            assert after.status == 200
+            assert fleet.truth.violations == []
+
+    asyncio.run(scenario())
+
+
+def test_a_relayed_answer_without_a_status_is_no_answer():
+    async def scenario():
+        async with Fleet(routers=2, proxied=True) as fleet:
+            await fleet.wait_ready()
+            cut_off = fleet.routers[0]
+            early = fleet.caller("early", only=cut_off)
+            with fleet.partitioned(cut_off, resets=True):
+                while "targets_unreachable" not in cut_off.log.read_text():
+                    await early.request(LOOKUP)
+                assert are_own_failures(await ask_targets_without_a_status(
+                    fleet, cut_off, "relayed"))
+            assert fleet.truth.violations == []
+
+    asyncio.run(scenario())
--- a/test/target_pool.cpp
+++ b/test/target_pool.cpp
@@ -127,6 +127,40 @@
     EXPECT_FALSE(p.pool.has_idle());
 }
 
+// The protocol knows statuses from 100 to 599. Below 200 they were taken for
+// interim answers, so that the call waited for another answer, and what stood
+// in the body was read as that; above 599 they were passed on.
+class AnswerWithoutAStatus : public testing::TestWithParam<const char*>
+{
+};
+
+TEST_P(AnswerWithoutAStatus, IsNoAnswer)
+{
+    const std::string status = GetParam();
+    const std::string inner =
+        "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\ninner";
+    for (const std::string body : {std::string(), std::string("ok"), inner}) {
+        pooled p;
+        noted call;
+        p.start(call);
+        auto& stream = p.await_request();
+        stream.send("HTTP/1.1 " + status + " X\r\nId: 1\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n" + body);
+        run_for(p.loop, 100ms);
+        EXPECT_FALSE(call.done) << body;
+        ASSERT_TRUE(call.failure) << body;
+        EXPECT_TRUE(call.failure->sent);
+        EXPECT_EQ(call.failure->fault, answer_fault::malformed);
+        EXPECT_EQ(call.head.status, 0);
+        EXPECT_EQ(call.body, "");
+        EXPECT_FALSE(p.pool.has_idle());
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(TargetPool, AnswerWithoutAStatus,
+                         testing::Values("000", "0", "7", "099", "99", "600",
+                                         "999"));
+
 // A second answer to an earlier call comes where the next answer is due.
 TEST(TargetPool, AnAnswerWithAnotherIdIsDroppedAndTheRightOneAwaited)
 {
