--- /dev/null
+++ b/include/vanillapost/src/rollouts/rollout_judge.hpp
@@ -0,0 +1,68 @@
+#ifndef VANILLAPOST_SRC_ROLLOUTS_ROLLOUT_JUDGE_HPP
+#define VANILLAPOST_SRC_ROLLOUTS_ROLLOUT_JUDGE_HPP
+
+#include "../base/time.hpp"
+#include "rollout_evidence.hpp"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace vanillapost {
+
+/// Too few answers yet.
+struct undecided
+{
+    bool operator==(const undecided&) const = default;
+};
+
+/// The answers so far show no difference to the current version.
+struct good_so_far
+{
+    bool operator==(const good_so_far&) const = default;
+};
+
+/// The target version does worse than the current one. Final.
+struct bad_version
+{
+    std::string route;  ///< that shows it; `pooled_route` for the pooled ones
+    std::string reason; ///< with the counts that decided, for the log
+
+    bool operator==(const bad_version&) const = default;
+};
+
+using rollout_verdict = std::variant<undecided, good_so_far, bad_version>;
+
+/// Compares the target version of a roll-out with the current one, at the same
+/// time and on the same route, as often as the caller likes.
+///
+/// The totals are cut into intervals between two calls. Within an interval a
+/// bad answer is as likely to come from the target version as its share of the
+/// answers says, if both versions are alike, whatever burst or outage goes on.
+/// The likelihood of the alternative against that is multiplied up over the
+/// intervals, so that looking often doesn't raise the share of false alarms.
+/// \see docs/design/rollouts.md
+class rollout_judge
+{
+public:
+    rollout_judge();
+    ~rollout_judge();
+    rollout_judge(rollout_judge&& other) noexcept;
+    rollout_judge& operator=(rollout_judge&& other) noexcept;
+
+    /// Judges what came since the last call, with all before. To be called
+    /// every 100 to 500 ms; a bad version stays one.
+    rollout_verdict judge(const evidence_totals& totals, time_point now);
+
+private:
+    class route_judge;
+
+    std::map<std::string, route_judge, std::less<>> routes_;
+    std::optional<bad_version> bad_;
+};
+
+} // namespace vanillapost
+
+#endif
