Decide roll-outs by version

The bodies of the module: evidence of both versions that merges in any order, a judge that compares them by sequential tests, a plan that steers the share within the budget and says what to write, and the split at each instance.

--- a/include/vanillapost/src/rollouts/rollout_evidence.hpp
+++ b/include/vanillapost/src/rollouts/rollout_evidence.hpp
@@ -83,7 +83,7 @@
 {
     std::uint64_t sent_to_current = 0;
     std::uint64_t sent_to_target = 0;
-    /// By route; further ones than `max_evidence_routes` are pooled again.
+    /// By route; bounded in number, further ones are pooled.
     route_evidence_map routes;
 
     std::uint64_t sent() const
@@ -100,6 +100,8 @@
     std::size_t live = 0;
     /// Those that report this directive or a later one.
     std::size_t seen = 0;
+    /// Those that have reported anything for the order.
+    std::size_t reported = 0;
     /// Sum over all live instances that have reported.
     std::uint64_t in_flight_at_current = 0;
 };
--- a/include/vanillapost/src/rollouts/rollout_judge.hpp
+++ b/include/vanillapost/src/rollouts/rollout_judge.hpp
@@ -2,9 +2,10 @@
 #define VANILLAPOST_SRC_ROLLOUTS_ROLLOUT_JUDGE_HPP
 
 #include "../base/time.hpp"
+#include "detail/route_judge.hpp"
 #include "rollout_evidence.hpp"
 
-#include <array>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,9 +13,16 @@
 
 namespace vanillapost {
 
-/// Too few answers yet.
+/// Log likelihood from which a version is called bad. The probability that a
+/// version which is alike gets there within n answers is below n times e to
+/// the minus this, for each hypothesis on each route.
+inline constexpr double judge_threshold = 14;
+
+/// Too few answers yet, or signs of a bad version that don't suffice yet.
 struct undecided
 {
+    bool suspicious = false; ///< whether there are such signs
+
     bool operator==(const undecided&) const = default;
 };
 
@@ -47,20 +55,16 @@
 class rollout_judge
 {
 public:
-    rollout_judge();
-    ~rollout_judge();
-    rollout_judge(rollout_judge&& other) noexcept;
-    rollout_judge& operator=(rollout_judge&& other) noexcept;
-
     /// Judges what came since the last call, with all before. To be called
     /// every 100 to 500 ms; a bad version stays one.
     rollout_verdict judge(const evidence_totals& totals, time_point now);
 
 private:
-    class route_judge;
+    rollout_verdict verdict(const evidence_totals& totals) const;
 
-    std::map<std::string, route_judge, std::less<>> routes_;
-    std::optional<bad_version> bad_;
+    std::map<std::string, detail::route_judge, std::less<>> routes_;
+    std::optional<time_point> last_cut_;
+    rollout_verdict verdict_;
 };
 
 } // namespace vanillapost
--- a/include/vanillapost/src/rollouts/rollout_plan.hpp
+++ b/include/vanillapost/src/rollouts/rollout_plan.hpp
@@ -85,24 +85,37 @@
 private:
     struct rate_sample
     {
-        duration age;
-        double sent;
+        duration age{};
+        std::uint64_t sent = 0;
     };
 
     rollout_step finish(rollout_state state);
     rollout_step stop(bad_version reason);
     rollout_step advance(const rollout_view& view);
+    rollout_step give_up_or_wait(const rollout_view& view);
+    rollout_step complete(const rollout_view& view);
     void give(rollout_phase phase, double target_share);
     void note_rate(const rollout_view& view);
-    bool fits_budget(const rollout_view& view, double target_requests) const;
-    double target_share_until_switch() const;
+    bool may_complete(const rollout_view& view) const;
+    bool over_budget(const rollout_view& view) const;
+    bool fits_budget(const rollout_view& view, double target_requests,
+                     double all_requests) const;
+    bool may_switch(const rollout_view& view) const;
+    double ramp_share(const rollout_view& view) const;
+    void choose_share(const rollout_view& view);
+    duration full_share_time() const;
+    duration remaining(const rollout_view& view) const;
+    duration write_margin() const;
 
     rollout_order order_;
     rollout_limits limits_;
     rollout_directive directive_;
     std::optional<bad_version> stopped_by_;
     std::optional<rate_sample> rate_from_;
-    double per_second_ = 0;
+    double per_second_ = 0; ///< requests to both versions together
+    bool completing_ = false;
+    /// Age of the order when all requests were to go to the target version.
+    std::optional<duration> switched_;
 };
 
 /// Share of the requests that the target version gets in the canary phase.
