Judge under load and next to the current version apart

The target version is tried under load for a short while halfway, and what shows only then, or without answers to compare with, has sums of its own. The sum over all routes is judged too.

--- a/include/vanillapost/src/rollouts/detail/route_judge.hpp
+++ b/include/vanillapost/src/rollouts/detail/route_judge.hpp
@@ -59,6 +59,10 @@
     /// of all hypotheses that it is worse.
     double doubt() const;
 
+    /// The same, without what was seen while there were no answers of the
+    /// current version to compare with.
+    double compared_doubt() const;
+
     /// The counts behind it, for the log.
     std::string reason() const;
 
@@ -70,6 +74,16 @@
         double bad = 0;
         std::array<double, latency_bucket_count> latencies{};
     };
+    /// For each hypothesis: over all intervals with answers of both versions,
+    /// over those of them in which the target version is under load, and over
+    /// the intervals without answers of the current version.
+    template <std::size_t Tests>
+    struct sums_by_load
+    {
+        std::array<group_sums, Tests> always;
+        std::array<group_sums, Tests> loaded;
+        std::array<group_sums, Tests> alone;
+    };
     using outcomes = group_sums::outcomes;
     using target_counts = std::array<version_counts, target_group_count>;
 
@@ -81,7 +95,10 @@
     void weigh_latencies(const version_counts& current,
                          const target_counts& target, double max_gain);
     bool leaves_out() const;
-    double failure_doubt() const;
+    template <std::size_t Tests>
+    void add(sums_by_load<Tests>& sums, std::size_t test,
+             const outcomes& interval, double alike, double more,
+             double max_gain);
     double latency_doubt() const;
 
     static constexpr std::size_t failure_tests = 3;
@@ -93,8 +110,10 @@
     baseline recent_;
     duration since_first_answer_{};
     bool alone_ = false; ///< no answers of the current version to compare with
-    std::array<group_sums, failure_tests> failures_;
-    std::array<std::array<group_sums, latency_tests>, slow_bounds> latencies_;
+    /// Time since the target version was under load.
+    std::optional<duration> since_load_;
+    sums_by_load<failure_tests> failures_;
+    std::array<sums_by_load<latency_tests>, slow_bounds> latencies_;
 };
 
 } // namespace vanillapost::detail
--- a/include/vanillapost/src/rollouts/rollout_judge.hpp
+++ b/include/vanillapost/src/rollouts/rollout_judge.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace vanillapost {
@@ -16,7 +17,10 @@
 /// Log likelihood from which a version is called bad. The probability that a
 /// version which is alike gets there within n answers is below n times e to
 /// the minus this, for each hypothesis on each route.
-inline constexpr double judge_threshold = 14;
+inline constexpr double judge_threshold = 11;
+
+/// Name under which the sum over all routes is judged.
+inline constexpr std::string_view all_routes = "all routes";
 
 /// Too few answers yet, or signs of a bad version that don't suffice yet.
 struct undecided
@@ -35,7 +39,9 @@
 /// The target version does worse than the current one. Final.
 struct bad_version
 {
-    std::string route;  ///< that shows it; `pooled_route` for the pooled ones
+    /// That shows it; `pooled_route` for those that aren't counted by name,
+    /// `all_routes` if only all of them together do.
+    std::string route;
     std::string reason; ///< with the counts that decided, for the log
 
     bool operator==(const bad_version&) const = default;
@@ -60,7 +66,7 @@
     rollout_verdict judge(const evidence_totals& totals, time_point now);
 
 private:
-    rollout_verdict verdict(const evidence_totals& totals) const;
+    rollout_verdict verdict(const version_counts& target) const;
 
     std::map<std::string, detail::route_judge, std::less<>> routes_;
     std::optional<time_point> last_cut_;
--- a/include/vanillapost/src/rollouts/rollout_plan.hpp
+++ b/include/vanillapost/src/rollouts/rollout_plan.hpp
@@ -98,10 +98,12 @@
     void note_rate(const rollout_view& view);
     bool may_complete(const rollout_view& view) const;
     bool over_budget(const rollout_view& view) const;
+    double requests_in(duration time) const;
     bool fits_budget(const rollout_view& view, double target_requests,
-                     double all_requests) const;
-    bool may_switch(const rollout_view& view) const;
-    double ramp_share(const rollout_view& view) const;
+                     double all_requests, double part) const;
+    bool fits_until_deadline(const rollout_view& view, double share) const;
+    bool fits_trial(const rollout_view& view, double share) const;
+    double raised_share(const rollout_view& view) const;
     void choose_share(const rollout_view& view);
     duration full_share_time() const;
     duration remaining(const rollout_view& view) const;
--- a/src/rollouts/rollout_judge.cpp
+++ b/src/rollouts/rollout_judge.cpp
@@ -10,15 +10,19 @@
 /// tell what burdens both versions.
 constexpr duration min_interval = std::chrono::milliseconds(250);
 /// Log likelihood from which a version is suspicious.
-constexpr double suspicion = 6;
+constexpr double suspicion = 3.5;
+/// Bad answers of the target version after which a suspicion suffices: a bad
+/// one may give few more.
+constexpr std::uint64_t max_bad_answers = 35;
 /// Answers of the target version from which it can be called good so far.
 constexpr std::uint64_t min_answers = 50;
 
-std::uint64_t target_answers(const evidence_totals& totals)
+/// All routes together. Both versions get the same mixture of them.
+route_evidence sum_of(const route_evidence_map& routes)
 {
-    std::uint64_t sum = 0;
-    for (const auto& [route, evidence] : totals.routes)
-        sum += evidence.all_target().answers();
+    route_evidence sum;
+    for (const auto& [route, evidence] : routes)
+        sum += evidence;
     return sum;
 }
 
@@ -37,21 +41,26 @@
     last_cut_ = now;
     for (const auto& [route, evidence] : totals.routes)
         routes_[route].weigh(evidence, interval);
-    verdict_ = verdict(totals);
+    const auto sum = sum_of(totals.routes);
+    routes_[std::string(all_routes)].weigh(sum, interval);
+    verdict_ = verdict(sum.all_target());
     return verdict_;
 }
 
-rollout_verdict rollout_judge::verdict(const evidence_totals& totals) const
+rollout_verdict rollout_judge::verdict(const version_counts& target) const
 {
+    const double sufficient =
+        target.bad < max_bad_answers ? judge_threshold : suspicion;
     double doubt = 0;
     for (const auto& [route, judge] : routes_) {
-        if (judge.doubt() >= judge_threshold)
+        const double compared = judge.compared_doubt();
+        if (judge.doubt() >= judge_threshold || compared >= sufficient)
             return bad_version{route, judge.reason()};
-        doubt = std::max(doubt, judge.doubt());
+        doubt = std::max(doubt, compared);
     }
     if (doubt >= suspicion)
         return undecided{true};
-    if (target_answers(totals) < min_answers)
+    if (target.answers() < min_answers)
         return undecided{};
     return good_so_far{};
 }
--- a/src/rollouts/rollout_plan.cpp
+++ b/src/rollouts/rollout_plan.cpp
@@ -11,31 +11,40 @@
 using seconds = std::chrono::duration<double>;
 
 /// Part of the exposed share that the canary phase uses; the rest is left for
-/// the time in which all requests go to the target version.
-constexpr double canary_part = 0.25;
+/// the times in which most or all requests go to the target version.
+constexpr double canary_part = 0.35;
 /// Part of the exposed share that is planned with. What instances send on
 /// views that are out of date has to fit in the rest.
-constexpr double planned_part = 0.8;
+constexpr double planned_part = 0.85;
 /// Part of the requests beyond the share that is planned with. The random
 /// starts of the instances' splits need the rest.
 constexpr double slack_part = 0.3;
 /// Longest part of the time limit that the slack alone may give to the full
 /// share, for services with few requests.
 constexpr double max_slack_time_part = 0.2;
-/// Shares of the steps between the canary's share and all requests.
-constexpr std::array ramp_shares{0.2, 0.5, 0.85};
-/// Length of each step, as a part of the time that the budget gives for the
-/// full share, and the part left for the full share.
-constexpr double ramp_step_part = 0.15;
-constexpr double full_part = 0.75;
+/// Part of the time limit after which most requests go to the target version
+/// for a short while, to see it under load. The answers are in and weighed
+/// before the deadline is near.
+constexpr double trial_begin_part = 0.5;
+/// The trial's steps: share, and length as a part of the full share's time.
+struct trial_step
+{
+    double share;
+    double length_part;
+};
+constexpr std::array trial_steps{trial_step{0.3, 0.1}, trial_step{0.85, 0.35}};
+/// Shares of the steps from the canary's share to all requests, and the
+/// length of a step as a part of the full share's time.
+constexpr std::array ramp_shares{0.3, 0.7};
+constexpr double ramp_step_part = 0.3;
 /// Part of the planned time with all requests at the target version that must
 /// have passed before a completion, so that load has shown what it shows.
 constexpr double min_full_part = 0.6;
 /// Time before the deadline that writing the final state may take, as a part
 /// of the time limit and within bounds.
-constexpr double write_margin_part = 0.05;
-constexpr duration min_write_margin = std::chrono::milliseconds(500);
-constexpr duration max_write_margin = std::chrono::seconds(2);
+constexpr double write_margin_part = 0.015;
+constexpr duration min_write_margin = std::chrono::milliseconds(300);
+constexpr duration max_write_margin = std::chrono::seconds(1);
 /// Part of the live instances that must have reported before more than the
 /// canary's share is given.
 constexpr double min_reported_part = 0.5;
@@ -159,7 +168,8 @@
     if (late || over_budget(view))
         return true;
     const auto full = view.order_age - *switched_;
-    const bool shown = full >= scaled(full_share_time(), min_full_part) &&
+    const auto planned = order_.time_limit - *switched_;
+    const bool shown = full >= scaled(planned, min_full_part) &&
                        std::holds_alternative<good_so_far>(view.verdict);
     const bool spread = view.reach.seen == view.reach.live;
     return shown && spread && view.reach.in_flight_at_current == 0;
@@ -168,67 +178,90 @@
 /// Whether the budget would be exceeded before another directive is followed.
 bool rollout_plan::over_budget(const rollout_view& view) const
 {
-    const double ahead = per_second_ * seconds(look_ahead).count();
-    return !fits_budget(view, directive_.target_share * ahead, 0);
+    const double ahead = requests_in(look_ahead);
+    return !fits_budget(view, directive_.target_share * ahead, 0, 1);
+}
+
+double rollout_plan::requests_in(duration time) const
+{
+    return per_second_ * std::max(seconds(time).count(), 0.0);
 }
 
 /// \param target_requests  to the target version, beyond those of the view
 /// \param all_requests  to both versions, beyond those of the view
+/// \param part  of the exposed share that is to be used at most
 bool rollout_plan::fits_budget(const rollout_view& view, double target_requests,
-                               double all_requests) const
+                               double all_requests, double part) const
 {
     const double exposed =
         static_cast<double>(view.totals.sent_to_target) + target_requests;
     const double all = static_cast<double>(view.totals.sent()) + all_requests;
-    return exposed <=
-           limits_.expose_share * all + slack_part * limits_.expose_slack;
+    return exposed <= part * limits_.expose_share * all +
+                          slack_part * limits_.expose_slack;
 }
 
 void rollout_plan::choose_share(const rollout_view& view)
 {
     const bool known = has_reported(view.reach);
-    if (known && !switched_ && may_switch(view))
+    if (known && !switched_ && fits_until_deadline(view, 1))
         switched_ = view.order_age;
     if (known && switched_) {
         give(rollout_phase::switching, 1);
         return;
     }
-    const double share = known ? ramp_share(view) : 0;
+    const double share = known ? raised_share(view) : 0;
     if (share > 0) {
         give(rollout_phase::ramping, share);
         return;
     }
     const double canary = canary_share(limits_);
-    const double ahead = per_second_ * seconds(look_ahead).count();
-    const bool fits = fits_budget(view, canary * ahead, 0);
+    const bool fits = fits_budget(view, canary * requests_in(look_ahead), 0, 1);
     give(rollout_phase::canary, fits ? canary : 0);
 }
 
-bool rollout_plan::may_switch(const rollout_view& view) const
+/// Whether a share can be given for a step and all requests from then until
+/// the final state is written.
+bool rollout_plan::fits_until_deadline(const rollout_view& view,
+                                       double share) const
 {
-    const auto left = remaining(view);
-    const auto lasts = std::max(left, write_margin());
-    const double requests = per_second_ * seconds(lasts).count();
-    return left <= scaled(full_share_time(), full_part) &&
-           fits_budget(view, requests, requests);
+    const auto full = full_share_time();
+    const auto left = std::max(remaining(view), write_margin());
+    const double saved =
+        (1 - share) * requests_in(scaled(full, ramp_step_part));
+    const double requests = requests_in(left);
+    return left <= full + full &&
+           fits_budget(view, requests - saved, requests, planned_part);
 }
 
-/// The share of the step that the time left calls for, or of a lower one if
-/// the budget doesn't allow it; 0 if there is none.
-double rollout_plan::ramp_share(const rollout_view& view) const
+/// The share of the trial under load, or of a step towards the full share; 0
+/// if it is time for neither.
+double rollout_plan::raised_share(const rollout_view& view) const
 {
-    const auto step = scaled(full_share_time(), ramp_step_part);
-    const double requests = per_second_ * seconds(step).count();
-    auto begin = scaled(full_share_time(), full_part) + step;
-    for (std::size_t i = ramp_shares.size(); i-- > 0; begin += step) {
-        const double share = ramp_shares.at(i);
-        if (remaining(view) <= begin &&
-            fits_budget(view, share * requests, requests))
-            return share;
+    for (std::size_t i = ramp_shares.size(); i-- > 0;)
+        if (fits_until_deadline(view, ramp_shares.at(i)))
+            return ramp_shares.at(i);
+    const auto full = full_share_time();
+    auto end = scaled(order_.time_limit, trial_begin_part);
+    if (view.order_age < end)
+        return 0;
+    for (const auto& step : trial_steps) {
+        end += scaled(full, step.length_part);
+        if (view.order_age < end)
+            return fits_trial(view, step.share) ? step.share : 0;
     }
     return 0;
 }
 
+/// Whether the canary's share until the deadline and a time at the full share
+/// still fit if a share is given now.
+bool rollout_plan::fits_trial(const rollout_view& view, double share) const
+{
+    const double canary = canary_share(limits_) * requests_in(remaining(view));
+    const double needed =
+        share * requests_in(look_ahead) + canary + requests_in(write_margin());
+    return fits_budget(view, needed, requests_in(remaining(view)), 1);
+}
+
 /// For how long all requests may go to the target version after the canary
 /// phase, if the rate stays as it is.
 duration rollout_plan::full_share_time() const
--- a/src/rollouts/route_judge.cpp
+++ b/src/rollouts/route_judge.cpp
@@ -10,9 +10,11 @@
 namespace {
 
 /// Time after which an answer of the current version counts half.
-constexpr duration half_life = std::chrono::seconds(5);
+constexpr duration half_life = std::chrono::milliseconds(1500);
 /// Answers of the current version that a share is taken from at least.
 constexpr double min_baseline = 20;
+/// Worse answers of the current version that count however few there are.
+constexpr std::uint64_t min_worse = 2;
 /// Assumed besides the answers of the current version, which may be few.
 constexpr double assumed_answers = 40;
 constexpr double assumed_bad = 2;
@@ -29,22 +31,28 @@
 /// Share of the answers below which the current version is no comparison.
 constexpr double min_current_share = 0.05;
 /// Share of bad answers of a bad version, beyond what counts as alike.
-constexpr std::array more_bad{0.06, 0.25, 0.6};
+constexpr std::array more_bad{0.06, 0.2, 0.6};
 /// Share of slow answers of a bad version, beyond what counts as alike.
 constexpr std::array more_slow{0.12, 0.4};
 /// Answers slower than all but this share of the current version's are slow.
 constexpr double slow_share = 0.05;
 /// Latencies of a version's first answers don't count: its targets are cold.
 constexpr duration warm_up = std::chrono::seconds(3);
+constexpr std::uint64_t warm_up_answers = 80;
+/// Share of the answers from which the target version is under load.
+constexpr double load_share = 0.25;
+/// For so long answers to requests sent under load come in, the slow ones
+/// last.
+constexpr duration load_answers_time = std::chrono::milliseconds(1500);
 /// What one interval may contribute to the verdict, so that one short event
 /// doesn't decide.
-constexpr double max_interval_gain = judge_threshold / 4;
+constexpr double max_interval_gain = judge_threshold / 3;
 /// The first interval holds all that came before a decider took over.
 constexpr double max_first_gain = judge_threshold * 0.75;
 constexpr double max_share = 0.95;
 
-template <class Array>
-double highest_doubt(const Array& sums)
+template <std::size_t Tests>
+double highest_doubt(const std::array<group_sums, Tests>& sums)
 {
     double highest = 0;
     for (const auto& sum : sums)
@@ -52,10 +60,27 @@
     return highest;
 }
 
-double share_of(std::uint64_t part, std::uint64_t whole)
+template <class Sums>
+double compared(const Sums& sums)
 {
-    const bool enough = static_cast<double>(whole) >= min_baseline;
-    return enough ? static_cast<double>(part) / static_cast<double>(whole) : 0;
+    return std::max(highest_doubt(sums.always), highest_doubt(sums.loaded));
+}
+
+template <class Sums>
+double overall(const Sums& sums)
+{
+    return std::max(compared(sums), highest_doubt(sums.alone));
+}
+
+/// The current version's share of worse answers in an interval. A few of few
+/// answers count as well: they may be the beginning of an event.
+double share_of(std::uint64_t worse, std::uint64_t answers)
+{
+    const bool enough =
+        static_cast<double>(answers) >= min_baseline || worse >= min_worse;
+    return enough && answers > 0
+               ? static_cast<double>(worse) / static_cast<double>(answers)
+               : 0;
 }
 
 std::string ratio_text(std::uint64_t part, std::uint64_t whole)
@@ -108,13 +133,18 @@
             ? std::exp2(-std::chrono::duration<double>(*interval) / half_life)
             : 1;
     update_baseline(current, kept);
-    if (evidence.all_target().answers() > 0 && interval)
+    const auto answers_so_far = evidence.all_target().answers();
+    if (answers_so_far > 0 && interval)
         since_first_answer_ += *interval;
     const auto all = static_cast<double>(current.answers() + target_answers);
     alone_ = static_cast<double>(current.answers()) < min_current_share * all;
+    if (all > 0 && static_cast<double>(target_answers) >= load_share * all)
+        since_load_ = duration::zero();
+    else if (since_load_ && interval)
+        *since_load_ += *interval;
     const double max_gain = interval ? max_interval_gain : max_first_gain;
     weigh_failures(current, target, max_gain);
-    if (since_first_answer_ >= warm_up)
+    if (since_first_answer_ >= warm_up && answers_so_far >= warm_up_answers)
         weigh_latencies(current, target, max_gain);
 }
 
@@ -170,9 +200,25 @@
     const double now = share_of(current.bad, current.answers());
     const double alike = tolerance * std::max(recent, now) + bad_tolerance +
                          (alone_ ? bad_tolerance_alone : 0);
-    for (std::size_t i = 0; i < failures_.size(); ++i)
-        failures_.at(i).add(interval, alike, more_bad.at(i), max_gain,
-                            leaves_out());
+    for (std::size_t i = 0; i < failure_tests; ++i)
+        add(failures_, i, interval, alike, more_bad.at(i), max_gain);
+}
+
+/// What shows only under load isn't outweighed by the time without, and what
+/// was seen next to the current version isn't by the time without it.
+template <std::size_t Tests>
+void route_judge::add(sums_by_load<Tests>& sums, std::size_t test,
+                      const outcomes& interval, double alike, double more,
+                      double max_gain)
+{
+    const bool leave_out = leaves_out();
+    if (alone_) {
+        sums.alone.at(test).add(interval, alike, more, max_gain, leave_out);
+        return;
+    }
+    sums.always.at(test).add(interval, alike, more, max_gain, leave_out);
+    if (since_load_ && *since_load_ <= load_answers_time)
+        sums.loaded.at(test).add(interval, alike, more, max_gain, leave_out);
 }
 
 void route_judge::weigh_latencies(const version_counts& current,
@@ -192,34 +238,37 @@
             tolerance * std::max(recent_slow_share(bucket), now) +
             slow_tolerance + (alone_ ? slow_tolerance_alone : 0);
         for (std::size_t i = 0; i < latency_tests; ++i)
-            latencies_.at(k).at(i).add(interval, alike, more_slow.at(i),
-                                       max_gain, leaves_out());
+            add(latencies_.at(k), i, interval, alike, more_slow.at(i),
+                max_gain);
     }
 }
 
-double route_judge::failure_doubt() const
-{
-    return highest_doubt(failures_);
-}
-
 double route_judge::latency_doubt() const
 {
     double highest = 0;
     for (const auto& tests : latencies_)
-        highest = std::max(highest, highest_doubt(tests));
+        highest = std::max(highest, overall(tests));
     return highest;
 }
 
 double route_judge::doubt() const
 {
-    return std::max(failure_doubt(), latency_doubt());
+    return std::max(overall(failures_), latency_doubt());
+}
+
+double route_judge::compared_doubt() const
+{
+    double highest = compared(failures_);
+    for (const auto& tests : latencies_)
+        highest = std::max(highest, compared(tests));
+    return highest;
 }
 
 std::string route_judge::reason() const
 {
     const auto target = last_.all_target();
     const auto& current = last_.current;
-    if (failure_doubt() >= latency_doubt())
+    if (overall(failures_) >= latency_doubt())
         return "bad answers: " + ratio_text(target.bad, target.answers()) +
                " of the target version, " +
                ratio_text(current.bad, current.answers()) + " of the current";
