--- a/include/vanillapost/src/rollouts/detail/route_judge.hpp
+++ b/include/vanillapost/src/rollouts/detail/route_judge.hpp
@@ -87,6 +87,7 @@
     using outcomes = group_sums::outcomes;
     using target_counts = std::array<version_counts, target_group_count>;
 
+    void note_mixture(std::uint64_t current, std::uint64_t target);
     void update_baseline(const version_counts& current, double kept);
     std::optional<std::size_t> slow_bucket() const;
     double recent_slow_share(std::size_t bucket) const;
@@ -109,6 +110,9 @@
     route_evidence last_;
     baseline recent_;
     duration since_first_answer_{};
+    /// Answers since the mixture was looked at last.
+    double mixture_current_ = 0;
+    double mixture_target_ = 0;
     bool alone_ = false; ///< no answers of the current version to compare with
     /// Time since the target version was under load.
     std::optional<duration> since_load_;
--- a/include/vanillapost/src/rollouts/rollout_evidence.hpp
+++ b/include/vanillapost/src/rollouts/rollout_evidence.hpp
@@ -145,7 +145,7 @@
 
     /// Takes another instance's report if it is newer than the one held. Own
     /// reports that come back are ignored.
-    void merge(const evidence_report& report, time_point now);
+    void merge(evidence_report report, time_point now);
 
     /// All reports together with the own answers up to now.
     evidence_totals totals() const;
--- a/include/vanillapost/src/rollouts/rollout_plan.hpp
+++ b/include/vanillapost/src/rollouts/rollout_plan.hpp
@@ -105,7 +105,9 @@
     bool fits_trial(const rollout_view& view, double share) const;
     double raised_share(const rollout_view& view) const;
     void choose_share(const rollout_view& view);
-    duration full_share_time() const;
+    double planned_slack(const rollout_view& view) const;
+    double planned_canary_share(const rollout_view& view) const;
+    duration full_share_time(const rollout_view& view) const;
     duration remaining(const rollout_view& view) const;
     duration write_margin() const;
 
@@ -120,7 +122,8 @@
     std::optional<duration> switched_;
 };
 
-/// Share of the requests that the target version gets in the canary phase.
+/// Least share of the requests that the target version gets in the canary
+/// phase; more if a service has few requests.
 double canary_share(const rollout_limits& limits);
 
 } // namespace vanillapost
--- a/src/rollouts/rollout_evidence.cpp
+++ b/src/rollouts/rollout_evidence.cpp
@@ -98,7 +98,7 @@
     return own_;
 }
 
-void rollout_evidence::merge(const evidence_report& report, time_point now)
+void rollout_evidence::merge(evidence_report report, time_point now)
 {
     const bool concerns = report.service == own_.service &&
                           report.order_revision == own_.order_revision &&
@@ -108,12 +108,13 @@
     order_seen_ = std::min(order_seen_, now - report.order_age);
     const auto held = reports_.find(report.instance);
     if (held == reports_.end()) {
+        const auto instance = report.instance;
         if (reports_.size() < max_evidence_reporters)
-            reports_.emplace(report.instance, report);
+            reports_.emplace(instance, std::move(report));
         return;
     }
     if (report.sequence > held->second.sequence)
-        held->second = report;
+        held->second = std::move(report);
 }
 
 evidence_totals rollout_evidence::totals() const
--- a/src/rollouts/rollout_plan.cpp
+++ b/src/rollouts/rollout_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace vanillapost {
@@ -16,9 +17,15 @@
 /// Part of the exposed share that is planned with. What instances send on
 /// views that are out of date has to fit in the rest.
 constexpr double planned_part = 0.85;
-/// Part of the requests beyond the share that is planned with. The random
-/// starts of the instances' splits need the rest.
-constexpr double slack_part = 0.3;
+/// Part of the requests beyond the share that is planned with, and what the
+/// random starts of the instances' splits need of it: three standard
+/// deviations, per square root of the instances.
+constexpr double slack_part = 0.8;
+constexpr double start_slack = 1.5;
+/// Part of the planned slack that the canary phase uses, and the largest share
+/// that it gets thereby.
+constexpr double canary_slack_part = 0.5;
+constexpr double max_canary_share = 0.3;
 /// Longest part of the time limit that the slack alone may give to the full
 /// share, for services with few requests.
 constexpr double max_slack_time_part = 0.2;
@@ -32,7 +39,7 @@
     double share;
     double length_part;
 };
-constexpr std::array trial_steps{trial_step{0.3, 0.1}, trial_step{0.85, 0.35}};
+constexpr std::array trial_steps{trial_step{0.3, 0.1}, trial_step{0.85, 0.5}};
 /// Shares of the steps from the canary's share to all requests, and the
 /// length of a step as a part of the full share's time.
 constexpr std::array ramp_shares{0.3, 0.7};
@@ -196,8 +203,7 @@
     const double exposed =
         static_cast<double>(view.totals.sent_to_target) + target_requests;
     const double all = static_cast<double>(view.totals.sent()) + all_requests;
-    return exposed <= part * limits_.expose_share * all +
-                          slack_part * limits_.expose_slack;
+    return exposed <= part * limits_.expose_share * all + planned_slack(view);
 }
 
 void rollout_plan::choose_share(const rollout_view& view)
@@ -214,23 +220,49 @@
         give(rollout_phase::ramping, share);
         return;
     }
-    const double canary = canary_share(limits_);
+    const double canary = planned_canary_share(view);
     const bool fits = fits_budget(view, canary * requests_in(look_ahead), 0, 1);
     give(rollout_phase::canary, fits ? canary : 0);
 }
 
+/// Requests beyond the share that are planned with.
+double rollout_plan::planned_slack(const rollout_view& view) const
+{
+    const auto instances = static_cast<double>(view.reach.live);
+    return std::max(slack_part * limits_.expose_slack -
+                        start_slack * std::sqrt(instances),
+                    0.0);
+}
+
+/// The share of the canary phase. For a service with few requests the slack
+/// makes it larger, as too few answers would come otherwise. It is rounded, so
+/// that it doesn't change with each small change of the rate.
+double rollout_plan::planned_canary_share(const rollout_view& view) const
+{
+    constexpr double grain = 0.005;
+    const double least = canary_share(limits_);
+    if (!has_reported(view.reach))
+        return least;
+    const double all = std::max(requests_in(order_.time_limit), 1.0);
+    const double extra = canary_slack_part * planned_slack(view) / all;
+    const double share = least + std::floor(extra / grain) * grain;
+    return std::min(share, std::max(max_canary_share, least));
+}
+
 /// Whether a share can be given for a step and all requests from then until
 /// the final state is written.
 bool rollout_plan::fits_until_deadline(const rollout_view& view,
                                        double share) const
 {
-    const auto full = full_share_time();
+    const auto full = full_share_time(view);
     const auto left = std::max(remaining(view), write_margin());
     const double saved =
         (1 - share) * requests_in(scaled(full, ramp_step_part));
     const double requests = requests_in(left);
-    return left <= full + full &&
-           fits_budget(view, requests - saved, requests, planned_part);
+    // There is little left that could come otherwise than planned.
+    const bool last_chance = left <= write_margin() + write_margin();
+    return left <= full + full && fits_budget(view, requests - saved, requests,
+                                              last_chance ? 1 : planned_part);
 }
 
 /// The share of the trial under load, or of a step towards the full share; 0
@@ -240,7 +272,7 @@
     for (std::size_t i = ramp_shares.size(); i-- > 0;)
         if (fits_until_deadline(view, ramp_shares.at(i)))
             return ramp_shares.at(i);
-    const auto full = full_share_time();
+    const auto full = full_share_time(view);
     auto end = scaled(order_.time_limit, trial_begin_part);
     if (view.order_age < end)
         return 0;
@@ -264,12 +296,12 @@
 
 /// For how long all requests may go to the target version after the canary
 /// phase, if the rate stays as it is.
-duration rollout_plan::full_share_time() const
+duration rollout_plan::full_share_time(const rollout_view& view) const
 {
     const double share = std::max(
         planned_part * limits_.expose_share - canary_share(limits_), 0.0);
     const auto by_share = scaled(order_.time_limit, share);
-    const double slack = slack_part * limits_.expose_slack;
+    const double slack = (1 - canary_slack_part) * planned_slack(view);
     const auto longest = scaled(order_.time_limit, max_slack_time_part);
     if (per_second_ * seconds(longest).count() <= slack)
         return by_share + longest;
--- a/src/rollouts/route_judge.cpp
+++ b/src/rollouts/route_judge.cpp
@@ -11,10 +11,12 @@
 
 /// Time after which an answer of the current version counts half.
 constexpr duration half_life = std::chrono::milliseconds(1500);
+/// So many answers are kept however old they are.
+constexpr double kept_answers = 50;
 /// Answers of the current version that a share is taken from at least.
 constexpr double min_baseline = 20;
 /// Worse answers of the current version that count however few there are.
-constexpr std::uint64_t min_worse = 2;
+constexpr std::uint64_t min_worse = 1;
 /// Assumed besides the answers of the current version, which may be few.
 constexpr double assumed_answers = 40;
 constexpr double assumed_bad = 2;
@@ -28,6 +30,8 @@
 /// with, as what burdens both can't be told from a bad version then.
 constexpr double bad_tolerance_alone = 0.08;
 constexpr double slow_tolerance_alone = 0.2;
+/// Answers of both versions that tell how they divide.
+constexpr double min_mixture = 20;
 /// Share of the answers below which the current version is no comparison.
 constexpr double min_current_share = 0.05;
 /// Share of bad answers of a bad version, beyond what counts as alike.
@@ -39,6 +43,7 @@
 /// Latencies of a version's first answers don't count: its targets are cold.
 constexpr duration warm_up = std::chrono::seconds(3);
 constexpr std::uint64_t warm_up_answers = 80;
+constexpr duration longest_warm_up = std::chrono::seconds(12);
 /// Share of the answers from which the target version is under load.
 constexpr double load_share = 0.25;
 /// For so long answers to requests sent under load come in, the slow ones
@@ -136,23 +141,40 @@
     const auto answers_so_far = evidence.all_target().answers();
     if (answers_so_far > 0 && interval)
         since_first_answer_ += *interval;
-    const auto all = static_cast<double>(current.answers() + target_answers);
-    alone_ = static_cast<double>(current.answers()) < min_current_share * all;
-    if (all > 0 && static_cast<double>(target_answers) >= load_share * all)
-        since_load_ = duration::zero();
-    else if (since_load_ && interval)
+    if (since_load_ && interval)
         *since_load_ += *interval;
+    note_mixture(current.answers(), target_answers);
     const double max_gain = interval ? max_interval_gain : max_first_gain;
     weigh_failures(current, target, max_gain);
-    if (since_first_answer_ >= warm_up && answers_so_far >= warm_up_answers)
+    const bool warm =
+        since_first_answer_ >= warm_up && answers_so_far >= warm_up_answers;
+    if (warm || since_first_answer_ >= longest_warm_up)
         weigh_latencies(current, target, max_gain);
 }
 
+/// Looks at how the answers divide between the versions, over as many
+/// intervals as it takes to see.
+void route_judge::note_mixture(std::uint64_t current, std::uint64_t target)
+{
+    mixture_current_ += static_cast<double>(current);
+    mixture_target_ += static_cast<double>(target);
+    const double all = mixture_current_ + mixture_target_;
+    if (all < min_mixture)
+        return;
+    alone_ = mixture_current_ < min_current_share * all;
+    if (mixture_target_ >= load_share * all)
+        since_load_ = duration::zero();
+    mixture_current_ = 0;
+    mixture_target_ = 0;
+}
+
 void route_judge::update_baseline(const version_counts& current, double kept)
 {
     // Without new answers the old ones stay the best comparison there is.
     if (current.answers() == 0)
         return;
+    if (recent_.answers < kept_answers)
+        kept = 1;
     recent_.answers =
         recent_.answers * kept + static_cast<double>(current.answers());
     recent_.bad = recent_.bad * kept + static_cast<double>(current.bad);
