Write rows of the store under conditions and place by version

The state of a roll-out is to be written once, whoever decides: a row is read alone, and written only if it and other rows have the revisions that the writer knows. A lost answer is settled by reading the row back. A request may be restricted to targets of one version, or to all others.

--- a/apps/router/router_settings.cpp
+++ b/apps/router/router_settings.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view step = "read settings";
 constexpr std::size_t max_settings_bytes = 64 * 1024;
 constexpr double max_repeat_allowance = 1e6;
+constexpr double max_expose_slack = 1e6;
 constexpr std::int64_t max_log_lines = 100'000;
 constexpr duration min_repeat_window = std::chrono::milliseconds(100);
 constexpr std::array<std::string_view, 2> platform_names = {"records", "rows"};
@@ -138,6 +139,12 @@
     result.repeats.allowance = reader.number(
         "repeat_allowance", 0, max_repeat_allowance, result.repeats.allowance);
     result.repeats.window = read_repeat_window(reader, result.repeats.window);
+    result.expose_share =
+        reader.number("expose_share", 0, 1, result.expose_share);
+    result.expose_slack = reader.number("expose_slack", 0, max_expose_slack,
+                                        result.expose_slack);
+    result.rollback_limit =
+        read_duration(reader, "rollback_limit", result.rollback_limit);
     result.memory_limit_mb =
         reader.number("memory_limit_mb", min_memory_limit_mb,
                       max_memory_limit_mb, result.memory_limit_mb);
@@ -169,6 +176,9 @@
             {"repeat_ratio", settings.repeats.ratio},
             {"repeat_allowance", settings.repeats.allowance},
             {"repeat_window", format_duration(settings.repeats.window)},
+            {"expose_share", settings.expose_share},
+            {"expose_slack", settings.expose_slack},
+            {"rollback_limit", format_duration(settings.rollback_limit)},
             {"memory_limit_mb", settings.memory_limit_mb},
             {"log_level", level_names[static_cast<int>(settings.log_level)]},
             {"log_lines_per_second", settings.log_lines_per_second}};
--- a/apps/router/router_settings.hpp
+++ b/apps/router/router_settings.hpp
@@ -39,6 +39,12 @@
     /// For how long callers may cache an answer of the directory.
     duration answer_lifetime = std::chrono::seconds(2);
     retry_budget_settings repeats;
+    /// Limits of a roll-out: the share of a service's requests that a version
+    /// gets until it is judged, the requests beyond it, and the time from a bad
+    /// version's last allowed answer until it gets nothing any more.
+    double expose_share = 0.1;
+    double expose_slack = 50;
+    duration rollback_limit = std::chrono::seconds(5);
     /// Of this process, in 10^6 bytes; by default enough for one body of the
     /// default limit beside everything else.
     double memory_limit_mb = 400;
--- a/include/vanillapost/src/io/row_store.hpp
+++ b/include/vanillapost/src/io/row_store.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,6 +33,14 @@
     bool more = false;          ///< further keys follow
 };
 
+/// What a row has to be like for a write to be done.
+struct row_condition
+{
+    std::string table;
+    std::string key;
+    std::uint64_t revision = 0; ///< 0: the row must not exist
+};
+
 enum class store_failure_kind
 {
     unreachable,  ///< no connection, or no answer: a write may have been done
@@ -75,6 +84,18 @@
     virtual void put(std::string_view table, std::string_view key,
                      std::string_view value, handler done) = 0;
 
+    /// One row; the answer has no row if there is none under that key.
+    virtual void read_row(std::string_view table, std::string_view key,
+                          handler done) = 0;
+
+    /// Writes a row only if some rows, that one among them, are as expected;
+    /// otherwise the result is a `conflict`. After `unreachable` and
+    /// `bad_answer` it may have been written, or may still be, and only reading
+    /// the row shows which.
+    virtual void put_if(std::span<const row_condition> expected,
+                        std::string_view table, std::string_view key,
+                        std::string_view value, handler done) = 0;
+
     /// Calls `handler` for each row that cannot be read. If its key can, the
     /// row is in the answer, too, with an empty value; otherwise it is left
     /// out.
--- a/include/vanillapost/src/io/table_rows.hpp
+++ b/include/vanillapost/src/io/table_rows.hpp
@@ -28,6 +28,11 @@
                 duration longest_wait, handler done) override;
     void put(std::string_view table, std::string_view key,
              std::string_view value, handler done) override;
+    void read_row(std::string_view table, std::string_view key,
+                  handler done) override;
+    void put_if(std::span<const row_condition> expected, std::string_view table,
+                std::string_view key, std::string_view value,
+                handler done) override;
 
 private:
     struct delayed;
--- a/include/vanillapost/src/placement/placement_request.hpp
+++ b/include/vanillapost/src/placement/placement_request.hpp
@@ -5,11 +5,28 @@
 #include "../base/time.hpp"
 
 #include <optional>
+#include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
 namespace vanillapost {
 
+/// Restricts a choice to the targets of one version of their software, or to
+/// those of all other versions.
+struct version_constraint
+{
+    std::string version;
+    bool others = false; ///< all but `version`
+
+    bool admits(std::string_view of_target) const
+    {
+        return (of_target == version) != others;
+    }
+
+    bool operator==(const version_constraint&) const = default;
+};
+
 /// The properties of a request on which the choice of its target depends.
 struct placement_request
 {
@@ -18,6 +35,8 @@
     double expected_kib = 1;      ///< size of request and response together
     bool repeatable = true;       ///< may be sent again if its response is lost
     std::vector<target_id> tried; ///< targets not to be chosen again
+    /// If not set, the version of a target does not matter.
+    std::optional<version_constraint> version;
 };
 
 /// Send the request to this target. If the target has a rate limit, this
--- a/include/vanillapost/src/placement/target_placer.hpp
+++ b/include/vanillapost/src/placement/target_placer.hpp
@@ -52,6 +52,15 @@
     /// Number of targets of a service that may be used.
     std::size_t usable_targets(const service_id& service) const;
 
+    /// Number of them that a constraint admits.
+    std::size_t usable_targets(const service_id& service,
+                               const version_constraint& version) const;
+
+    /// Number of requests of this instance in flight at the targets of a
+    /// service that a constraint admits, listed or not.
+    int in_flight(const service_id& service,
+                  const version_constraint& version) const;
+
 private:
     std::vector<detail::candidate> rank(const placement_request& request,
                                         time_point now);
@@ -60,7 +69,7 @@
     bool must_recheck(const detail::tracked_target& each, time_point now) const;
     void add_recheck(const placement_request& request, time_point now,
                      std::vector<target_id>& targets) const;
-    std::optional<duration> shortest_wait(const service_id& service,
+    std::optional<duration> shortest_wait(const placement_request& request,
                                           time_point now) const;
     void apply_record(detail::tracked_target& each, const listed_target& record,
                       const target_catalog& catalog, time_point now) const;
--- a/include/vanillapost/src/targets/listed_target.hpp
+++ b/include/vanillapost/src/targets/listed_target.hpp
@@ -23,6 +23,7 @@
     /// Concurrent requests that it can handle while cold. If not set, the rate
     /// limit of its service for cold targets applies.
     std::optional<int> cold_slots;
+    std::string version; ///< of its software; empty if it names none
     std::int64_t start_unix_ms =
         0;                     ///< wall-clock start time; identifies the start
     std::int64_t sequence = 0; ///< rises with each report of one start
--- a/src/io/table_rows.cpp
+++ b/src/io/table_rows.cpp
@@ -43,6 +43,20 @@
     return to_rows(std::get<table_changes>(answer), prefix);
 }
 
+/// A row that was read alone; the service says no revision beside it.
+store_result to_single_row(const platform_result<table_row>& answer,
+                           const std::string& key)
+{
+    if (const auto* failure = std::get_if<platform_unavailable>(&answer))
+        return to_failure(*failure);
+    const auto& row = std::get<table_row>(answer);
+    store_rows result;
+    result.revision = row.at;
+    if (row.value)
+        result.rows.push_back({key, *row.value, row.at, false});
+    return result;
+}
+
 /// What cannot be read among the changes, with keys as in the table.
 std::vector<malformed_row>
 malformed_rows_in(const platform_result<table_changes>& from,
@@ -186,6 +200,38 @@
     });
 }
 
+void table_rows::read_row(std::string_view table, std::string_view key,
+                          handler done)
+{
+    client_.read(
+        prefix_of(table) + std::string(key),
+        [alive = alive_, name = std::string(key), done](const auto& answer) {
+            if (*alive)
+                done(to_single_row(answer, name));
+        });
+}
+
+// The written row is an operation of its own, which needs its revision.
+void table_rows::put_if(std::span<const row_condition> expected,
+                        std::string_view table, std::string_view key,
+                        std::string_view value, handler done)
+{
+    using action = table_operation::action;
+    const auto written = prefix_of(table) + std::string(key);
+    table_transaction transaction;
+    transaction.write_id = writer_ + "-" + std::to_string(writes_++);
+    for (const auto& each : expected) {
+        const auto name = prefix_of(each.table) + each.key;
+        const bool is_written = name == written;
+        transaction.operations.push_back(
+            {name, each.revision, is_written ? action::put : action::check,
+             is_written ? std::string(value) : std::string()});
+    }
+    client_.transact(transaction, [done](const transaction_result& result) {
+        done(std::visit(write_result{}, result));
+    });
+}
+
 void table_rows::write(std::string key, std::uint64_t expected,
                        std::string value, handler done)
 {
--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -31,6 +31,12 @@
     return duration(static_cast<duration::rep>(value));
 }
 
+bool is_admitted(const detail::tracked_target& each,
+                 const placement_request& request)
+{
+    return !request.version || request.version->admits(each.record.version);
+}
+
 } // namespace
 
 target_placer::target_placer(placement_settings settings, random_engine random)
@@ -132,7 +138,7 @@
         auto unavailable = targets_to_recheck(request, now);
         if (options.probing_allowed && !unavailable.empty())
             return probe_first{std::move(unavailable)};
-        return no_target{shortest_wait(request.service, now)};
+        return no_target{shortest_wait(request, now)};
     }
     const auto& best = order.front();
     if (options.probing_allowed) {
@@ -175,6 +181,30 @@
     return found == services_.end() ? 0 : found->second.size();
 }
 
+std::size_t
+target_placer::usable_targets(const service_id& service,
+                              const version_constraint& version) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return 0;
+    return static_cast<std::size_t>(
+        std::ranges::count_if(found->second, [&](const auto* each) {
+            return version.admits(each->record.version);
+        }));
+}
+
+int target_placer::in_flight(const service_id& service,
+                             const version_constraint& version) const
+{
+    int result = 0;
+    for (const auto& [id, each] : targets_)
+        if (each.record.service == service &&
+            version.admits(each.record.version))
+            result += each.status.in_flight();
+    return result;
+}
+
 std::vector<detail::candidate>
 target_placer::rank(const placement_request& request, time_point now)
 {
@@ -205,6 +235,8 @@
                             time_point now) const
 {
     const auto& status = each.status;
+    if (!is_admitted(each, request))
+        return false;
     if (status.may_be_down(now) || status.is_draining())
         return false;
     if (std::ranges::find(request.tried, each.record.id) != request.tried.end())
@@ -232,7 +264,7 @@
                                 std::vector<target_id>& targets) const
 {
     for (const auto* each : services_.at(request.service)) {
-        if (!must_recheck(*each, now))
+        if (!is_admitted(*each, request) || !must_recheck(*each, now))
             continue;
         targets.push_back(each->record.id);
         return;
@@ -242,14 +274,17 @@
 // Time until the first target of a service accepts a request. Nullopt if one of
 // them would accept a request now: what else keeps it from being used may end
 // at any moment.
-std::optional<duration> target_placer::shortest_wait(const service_id& service,
-                                                     time_point now) const
+std::optional<duration>
+target_placer::shortest_wait(const placement_request& request,
+                             time_point now) const
 {
     std::optional<duration> result;
-    const auto found = services_.find(service);
+    const auto found = services_.find(request.service);
     if (found == services_.end())
         return result;
     for (const auto* each : found->second) {
+        if (!is_admitted(*each, request))
+            continue;
         const auto send_at = admission_.next_send_time(*each, now);
         if (send_at && *send_at <= now)
             return std::nullopt;
@@ -274,9 +309,11 @@
             break;
         const bool tried = std::ranges::find(request.tried, each->record.id) !=
                            request.tried.end();
+        if (tried || !is_admitted(*each, request))
+            continue;
         const bool needs_probe =
             each->status.is_suspect(now) || must_recheck(*each, now);
-        if (needs_probe && !tried && !each->status.is_paused(now))
+        if (needs_probe && !each->status.is_paused(now))
             result.push_back(each->record.id);
     }
     return result;
--- a/test/callback_failures.cpp
+++ b/test/callback_failures.cpp
@@ -172,6 +172,15 @@
     {
     }
 
+    void read_row(std::string_view, std::string_view, handler) override
+    {
+    }
+
+    void put_if(std::span<const row_condition>, std::string_view,
+                std::string_view, std::string_view, handler) override
+    {
+    }
+
     int calls = 0;
 
 private:
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -24,6 +24,12 @@
     return made;
 }
 
+listed_target with_version(listed_target made, const std::string& version)
+{
+    made.version = version;
+    return made;
+}
+
 /// A placer with some targets.
 struct placer_fixture
 {
@@ -587,4 +593,56 @@
     EXPECT_LT(status.load(start + 2s), 0.1);
 }
 
+TEST(Placement, AConstraintAdmitsOnlyTargetsOfItsVersions)
+{
+    placer_fixture fixture({});
+    auto& placer = fixture.placer;
+    fixture.catalog.put(with_version(make_target("old", "d1"), "v1"));
+    fixture.catalog.put(with_version(make_target("bare", "d1"), ""));
+    fixture.catalog.put(with_version(make_target("new", "d1"), "v2"));
+    placer.update(fixture.catalog, fixture.rates, start);
+    const version_constraint only{"v2", false};
+    const version_constraint others{"v2", true};
+    EXPECT_EQ(placer.usable_targets(service, only), 1U);
+    EXPECT_EQ(placer.usable_targets(service, others), 2U);
+    placement_request request;
+    request.service = service;
+    request.expected_work = 120ms;
+    const auto choose = [&] {
+        return placer.choose(request, {false, 1s}, start);
+    };
+    for (int i = 0; i < 50; ++i) {
+        request.version = only;
+        const auto at_new = choose();
+        ASSERT_TRUE(std::holds_alternative<place_on>(at_new));
+        EXPECT_EQ(std::get<place_on>(at_new).target.value, "new");
+        request.version = others;
+        const auto at_other = choose();
+        ASSERT_TRUE(std::holds_alternative<place_on>(at_other));
+        EXPECT_NE(std::get<place_on>(at_other).target.value, "new");
+    }
+    placer.find({"old"})->on_sent(start);
+    EXPECT_EQ(placer.in_flight(service, others), 1);
+    EXPECT_EQ(placer.in_flight(service, only), 0);
+    request.version = version_constraint{"v3", false};
+    EXPECT_TRUE(std::holds_alternative<no_target>(choose()));
+}
+
+// A probe of the other version tells nothing of those that may be chosen.
+TEST(Placement, OnlyTargetsThatAConstraintAdmitsAreProbed)
+{
+    placer_fixture fixture({});
+    fixture.catalog.put(with_version(make_target("old", "d1"), "v1"));
+    fixture.catalog.put(with_version(make_target("new", "d1"), "v2"));
+    fixture.placer.update(fixture.catalog, fixture.rates, start);
+    placement_request request;
+    request.service = service;
+    request.expected_work = 120ms;
+    request.version = version_constraint{"v2", false};
+    const auto decision = fixture.placer.choose(request, {true, 1s}, start);
+    ASSERT_TRUE(std::holds_alternative<probe_first>(decision));
+    EXPECT_EQ(std::get<probe_first>(decision).targets,
+              std::vector<target_id>{{"new"}});
+}
+
 } // namespace
--- a/test/platform_decode.cpp
+++ b/test/platform_decode.cpp
@@ -55,18 +55,29 @@
     EXPECT_EQ(target.id.value, "i-1");
     EXPECT_EQ(target.service.value, "s");
     EXPECT_EQ(target.data_centre.value, "z");
+    EXPECT_EQ(target.version, "v1");
     EXPECT_EQ(target.slots, 2);
     EXPECT_EQ(target.cold_left, 250ms);
     EXPECT_EQ(target.start_unix_ms, 17);
     EXPECT_FALSE(target.draining);
 }
 
+TEST(PlatformDecode, ATargetMayNameNoVersion)
+{
+    auto row = nlohmann::json::parse(target_text);
+    row["info"]["version"] = "";
+    EXPECT_EQ(decode_target("i", row.dump()).version, "");
+    row["info"].erase("version");
+    EXPECT_EQ(decode_target("i", row.dump()).version, "");
+}
+
 TEST(PlatformDecode, RowsOfOtherWritersNameNoTarget)
 {
     const auto whole = nlohmann::json::parse(target_text);
     for (const auto* path :
          {"/address", "/info", "/info/service", "/info/zone",
-          "/info/maxConcurrency", "/status/state", "/status/sequence"}) {
+          "/info/maxConcurrency", "/info/version", "/status/state",
+          "/status/sequence"}) {
         const nlohmann::json::json_pointer at(path);
         auto broken = whole;
         broken[at] = nlohmann::json::array({1});
--- a/test/router_settings.cpp
+++ b/test/router_settings.cpp
@@ -43,6 +43,25 @@
     EXPECT_EQ(missing.memory_limit_mb, 128);
 }
 
+TEST(RouterSettings, LimitsOfARollOutMayBeMissing)
+{
+    auto document = sample();
+    document["expose_share"] = 0.2;
+    document["expose_slack"] = 7;
+    document["rollback_limit"] = "4000ms";
+    const auto named = parse_router_settings(document.dump(), "f");
+    EXPECT_EQ(named.expose_share, 0.2);
+    EXPECT_EQ(named.expose_slack, 7);
+    EXPECT_EQ(named.rollback_limit, std::chrono::seconds(4));
+    for (const auto* field :
+         {"expose_share", "expose_slack", "rollback_limit"})
+        document.erase(field);
+    const auto missing = parse_router_settings(document.dump(), "f");
+    EXPECT_EQ(missing.expose_share, 0.1);
+    EXPECT_EQ(missing.expose_slack, 50);
+    EXPECT_EQ(missing.rollback_limit, std::chrono::seconds(5));
+}
+
 TEST(RouterSettings, NamesEveryFieldThatIsWrong)
 {
     auto document = sample();
@@ -82,6 +101,9 @@
            "10.0.0.1:4",
            {{"a", "10.0.0.1:4"}}}},
          {"repeat_window", {"0s", "0.001ms", "99ms"}},
+         {"expose_share", {-0.1, 1.1, "0.1"}},
+         {"expose_slack", {-1, "50"}},
+         {"rollback_limit", {"soon", 5}},
          {"memory_limit_mb", {0, -1, 1'000'001, "390"}},
          {"name", {"a\r\nb", std::string(201, 'a')}},
          {"data_centre", {"a\nb"}},
--- a/test/store_client.cpp
+++ b/test/store_client.cpp
@@ -249,6 +249,122 @@
     EXPECT_TRUE(std::get<store_rows>(good).more);
 }
 
+/// A store that keeps what it is told to write, and may lose its answers.
+struct writing_store
+{
+    event_loop loop;
+    int status = 200;
+    bool loses_answers = false;
+    header_list headers{{"Store-Era", "1"}};
+    std::vector<std::unique_ptr<server_exchange>> unanswered;
+    json written;
+    std::string asked;
+    http_server server{loop, {}, [this](std::unique_ptr<server_exchange> e) {
+                           take(std::move(e));
+                       }};
+    platform::store_client client{loop, server.listen(any_port)};
+
+    void take(std::unique_ptr<server_exchange> exchange)
+    {
+        asked = std::string(exchange->path()) + "?" +
+                std::string(exchange->query());
+        if (!exchange->body().empty())
+            written = json::parse(exchange->body());
+        if (loses_answers)
+            unanswered.push_back(std::move(exchange));
+        else
+            exchange->reply(status, headers, stored());
+    }
+
+    /// The row that was written, if one was, and one behind it.
+    std::string stored() const
+    {
+        json rows = json::array();
+        if (!written.is_null()) {
+            auto row = written.at("writes").at(0);
+            row["revision"] = 8;
+            rows.push_back(std::move(row));
+        }
+        rows.push_back(
+            {{"key", "rollout/z"}, {"revision", 3}, {"value", "eA=="}});
+        return json{{"revision", 9}, {"rows", std::move(rows)}}.dump();
+    }
+
+    store_result put_if(std::uint64_t expected)
+    {
+        const std::vector<row_condition> conditions = {
+            {"status", "rollout/s", expected},
+            {"op", "rollout/s", make_revision(1, 4)}};
+        return wait([&](auto done) {
+            client.put_if(conditions, "status", "rollout/s", "text", done);
+        });
+    }
+
+    store_result read_row()
+    {
+        return wait(
+            [&](auto done) { client.read_row("status", "rollout/s", done); });
+    }
+
+private:
+    template <class Call>
+    store_result wait(const Call& call)
+    {
+        std::optional<store_result> got;
+        call([&](store_result result) { got = std::move(result); });
+        run_until(loop, [&] { return got.has_value(); });
+        return std::move(*got);
+    }
+};
+
+TEST(StoreClient, AWriteUnderConditionsNamesThemAll)
+{
+    writing_store store;
+    const auto result = store.put_if(make_revision(1, 7));
+    EXPECT_EQ(std::get<store_rows>(result).revision, make_revision(1, 9));
+    EXPECT_EQ(store.asked, "/rows-tx?");
+    EXPECT_EQ(store.written.at("expect"), json::parse(R"([
+        {"table":"status","part":"","key":"rollout/s","revision":7},
+        {"table":"op","part":"","key":"rollout/s","revision":4}])"));
+    EXPECT_EQ(store.written.at("writes"), json::parse(R"([
+        {"table":"status","part":"","key":"rollout/s","value":"dGV4dA=="}])"));
+    EXPECT_TRUE(store.written.at("remove").empty());
+}
+
+TEST(StoreClient, AWriteWhoseConditionsDoNotHoldIsAConflict)
+{
+    writing_store store;
+    store.status = 412;
+    const auto result = store.put_if(0);
+    EXPECT_EQ(std::get<store_failure>(result).kind,
+              store_failure_kind::conflict);
+    EXPECT_EQ(store.written.at("expect").at(0).at("revision"), 0);
+}
+
+TEST(StoreClient, OneRowIsReadWithoutThoseBehindIt)
+{
+    writing_store store;
+    const auto none = std::get<store_rows>(store.read_row());
+    EXPECT_TRUE(none.rows.empty());
+    EXPECT_EQ(store.asked,
+              "/rows-get?table=status&part=&limit=1&fromRev=rollout/s");
+}
+
+// What became of the write is shown by the row alone.
+TEST(StoreClient, ARowIsReadBackAfterTheAnswerToItsWriteWasLost)
+{
+    writing_store store;
+    store.loses_answers = true;
+    const auto lost = store.put_if(0);
+    EXPECT_EQ(std::get<store_failure>(lost).kind,
+              store_failure_kind::unreachable);
+    store.loses_answers = false;
+    const auto read = std::get<store_rows>(store.read_row());
+    ASSERT_EQ(read.rows.size(), 1U);
+    EXPECT_EQ(read.rows[0].value, "text");
+    EXPECT_EQ(read.rows[0].revision, make_revision(1, 8));
+}
+
 /// An answer as the store encodes it.
 std::string encode_answer(const store_rows& rows)
 {
--- a/test/table_follower.cpp
+++ b/test/table_follower.cpp
@@ -37,6 +37,15 @@
     {
     }
 
+    void read_row(std::string_view, std::string_view, handler) override
+    {
+    }
+
+    void put_if(std::span<const row_condition>, std::string_view,
+                std::string_view, std::string_view, handler) override
+    {
+    }
+
     std::vector<call> calls;
 };
 
