Read orders of roll-outs and their limits

The adapter reads op/rollout/SERVICE and a target's version, and writes and reads status/rollout/SERVICE.

test_platform_decode and test_router_settings pass.

--- a/apps/router/adapters/platform_adapter.hpp
+++ b/apps/router/adapters/platform_adapter.hpp
@@ -2,12 +2,14 @@
 #define VANILLAPOST_APPS_ROUTER_ADAPTERS_PLATFORM_ADAPTER_HPP
 
 #include "vanillapost/placement.hpp"
+#include "vanillapost/rollouts.hpp"
 #include "vanillapost/routes.hpp"
 #include "vanillapost/src/io/http_message.hpp"
 #include "vanillapost/src/io/row_store.hpp"
 #include "vanillapost/targets.hpp"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
@@ -51,9 +53,31 @@
     /// All targets, if operators list them.
     std::optional<std::vector<listed_target>> targets;
     std::set<data_centre_id> evacuated; ///< all that are evacuated now
+    /// All roll-outs that are ordered now.
+    std::map<service_id, rollout_order> rollouts;
     std::vector<unreadable_row> unreadable;
 };
 
+/// The state of a roll-out as its row in the store says it.
+struct rollout_status
+{
+    std::string target_version;
+    rollout_state state = rollout_state::serving;
+
+    bool operator==(const rollout_status&) const = default;
+};
+
+/// Where the states of roll-outs are written, and how.
+struct rollout_rows
+{
+    std::string table; ///< empty if operators can order no roll-out
+    /// The key of a service's rows, the order's and the state's.
+    std::function<std::string(const service_id&)> key;
+    std::function<std::string(const rollout_status&)> write;
+    /// \throws error  when the text cannot be parsed
+    std::function<rollout_status(std::string_view text)> read;
+};
+
 /// The tables of the platform's store that the router reads, and the parsers of
 /// their rows. The functions throw `error` for what they cannot parse.
 struct row_schema
@@ -67,6 +91,7 @@
     /// Table in which targets register; empty when operators list them.
     std::string target_table;
     std::string member_table;
+    rollout_rows rollouts;
     std::function<operator_change(std::span<const io::store_row> changed)>
         read_operator_rows;
     std::function<listed_target(std::string_view key, std::string_view text)>
--- a/apps/router/router_settings.cpp
+++ b/apps/router/router_settings.cpp
@@ -141,8 +141,8 @@
     result.repeats.window = read_repeat_window(reader, result.repeats.window);
     result.expose_share =
         reader.number("expose_share", 0, 1, result.expose_share);
-    result.expose_slack = reader.number("expose_slack", 0, max_expose_slack,
-                                        result.expose_slack);
+    result.expose_slack =
+        reader.number("expose_slack", 0, max_expose_slack, result.expose_slack);
     result.rollback_limit =
         read_duration(reader, "rollback_limit", result.rollback_limit);
     result.memory_limit_mb =
--- a/test/platform_decode.cpp
+++ b/test/platform_decode.cpp
@@ -1,3 +1,4 @@
+#include "../platform/adapter.hpp"
 #include "../platform/decode.hpp"
 #include "vanillapost/base.hpp"
 
@@ -71,13 +72,72 @@
     EXPECT_EQ(decode_target("i", row.dump()).version, "");
 }
 
+TEST(PlatformDecode, AnOrderOfARollOutIsReadFromItsRow)
+{
+    EXPECT_EQ(decode_rollout_key("rollout/s"), service_id{"s"});
+    EXPECT_FALSE(decode_rollout_key("rollout/"));
+    EXPECT_FALSE(decode_rollout_key("evacuate/s"));
+    const auto order = decode_rollout_order(
+        {"s"}, R"({"service":"s","target":"v2","duration":"45s"})", 12);
+    EXPECT_EQ(order, (rollout_order{{"s"}, "v2", 45s, 12}));
+    for (const auto* text :
+         {"", "[]", "{}", R"({"service":"t","target":"v2","duration":"45s"})",
+          R"({"service":"s","target":"","duration":"45s"})",
+          R"({"service":"s","target":7,"duration":"45s"})",
+          R"({"service":"s","target":"v2"})",
+          R"({"service":"s","target":"v2","duration":45})",
+          R"({"service":"s","target":"a\nb","duration":"45s"})"})
+        EXPECT_THROW(decode_rollout_order({"s"}, text, 12), error) << text;
+}
+
+TEST(PlatformDecode, TheStateOfARollOutIsReadAsItIsWritten)
+{
+    for (const auto state : {rollout_state::serving, rollout_state::completed,
+                             rollout_state::rolled_back}) {
+        const router::rollout_status status{"v2", state};
+        EXPECT_EQ(decode_rollout_status(encode_rollout_status(status)), status);
+    }
+    EXPECT_EQ(encode_rollout_status({"v2", rollout_state::rolled_back}),
+              R"({"state":"rolled_back","target":"v2"})");
+    for (const auto* text :
+         {"", R"({"target":"v2"})", R"({"target":"v2","state":"done"})",
+          R"({"state":"serving"})", R"({"target":1,"state":"serving"})"})
+        EXPECT_THROW(decode_rollout_status(text), error) << text;
+}
+
+io::store_row order_row(const std::string& value, std::uint64_t revision,
+                        bool removed = false)
+{
+    return {"rollout/s", value, revision, removed};
+}
+
+// Without an order the new version would get its full share at once.
+TEST(PlatformDecode, AnOrderStandsUntilItIsReplacedOrRemoved)
+{
+    const auto adapter = make_platform_adapter();
+    const auto take = [&](const io::store_row& row) {
+        return adapter.rows.read_operator_rows({&row, 1});
+    };
+    const service_id service{"s"};
+    auto change =
+        take(order_row(R"({"service":"s","target":"v2","duration":"9s"})", 5));
+    ASSERT_EQ(change.rollouts.size(), 1U);
+    EXPECT_EQ(change.rollouts.at(service).revision, 5U);
+    change = take(order_row("", 6));
+    EXPECT_EQ(change.unreadable.size(), 1U);
+    EXPECT_EQ(change.rollouts.at(service).target_version, "v2");
+    change = take({"evacuate/z", "", 7, false});
+    EXPECT_EQ(change.rollouts.size(), 1U);
+    change = take(order_row("", 8, true));
+    EXPECT_TRUE(change.rollouts.empty());
+}
+
 TEST(PlatformDecode, RowsOfOtherWritersNameNoTarget)
 {
     const auto whole = nlohmann::json::parse(target_text);
-    for (const auto* path :
-         {"/address", "/info", "/info/service", "/info/zone",
-          "/info/maxConcurrency", "/info/version", "/status/state",
-          "/status/sequence"}) {
+    for (const auto* path : {"/address", "/info", "/info/service", "/info/zone",
+                             "/info/maxConcurrency", "/info/version",
+                             "/status/state", "/status/sequence"}) {
         const nlohmann::json::json_pointer at(path);
         auto broken = whole;
         broken[at] = nlohmann::json::array({1});
--- a/test/router_settings.cpp
+++ b/test/router_settings.cpp
@@ -53,8 +53,7 @@
     EXPECT_EQ(named.expose_share, 0.2);
     EXPECT_EQ(named.expose_slack, 7);
     EXPECT_EQ(named.rollback_limit, std::chrono::seconds(4));
-    for (const auto* field :
-         {"expose_share", "expose_slack", "rollback_limit"})
+    for (const auto* field : {"expose_share", "expose_slack", "rollback_limit"})
         document.erase(field);
     const auto missing = parse_router_settings(document.dump(), "f");
     EXPECT_EQ(missing.expose_share, 0.1);
