Steer roll-outs by version over all instances

An operator's order moves a service to targets of another version. A repeat goes to the version that is known to work, and a request that finds no target of the new version to the old one. Without an order nothing is sent, read or chosen otherwise. Earlier builds take the new messages for empty lists of rate limits.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -64,6 +64,8 @@
       crashes_(
           loop,
           [this](const json& message) { send_to_peers("crash", message); }),
+      rollouts_([this](std::string_view kind, const member& to,
+                       std::string_view bytes) { send(kind, to, bytes); }),
       monitor_(
           loop, cluster, metrics, log, random_engine(random_()),
           {[this](const member& to) { send_probe_to(to); },
@@ -321,6 +323,11 @@
 void peer_controller::handle_message(const io::address& from,
                                      const json& message)
 {
+    // It looks like one about rate limits to instances of earlier versions.
+    if (rollout_relay::is_message(message)) {
+        rollouts_.handle(message);
+        return;
+    }
     limits_.handle(message, from.ip);
     if (message.contains("hello")) {
         handle_hello(from, message);
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -7,6 +7,7 @@
 #include "peers/member_monitor.hpp"
 #include "peers/peer_discovery.hpp"
 #include "peers/rate_limit_relay.hpp"
+#include "peers/rollout_relay.hpp"
 #include "peers/state_request.hpp"
 #include "reporting/router_log.hpp"
 #include "state/cluster_view.hpp"
@@ -86,6 +87,12 @@
         limits_.on_rate_limit(id, change);
     }
 
+    /// The messages about roll-outs.
+    rollout_relay& rollouts()
+    {
+        return rollouts_;
+    }
+
 private:
     void join();
     void run_heartbeat();
@@ -127,6 +134,7 @@
     departure_relay departures_;
     rate_limit_relay limits_;
     crash_relay crashes_;
+    rollout_relay rollouts_;
     member_monitor monitor_;
     change_relay changes_;
     state_request state_request_;
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -32,6 +32,11 @@
         .Register(registry);
 }
 
+std::string side_name(version_side side)
+{
+    return side == version_side::target ? "target" : "current";
+}
+
 prometheus::Gauge& make_gauge(prometheus::Registry& registry,
                               const std::string& name, const std::string& help)
 {
@@ -119,6 +124,23 @@
       peer_bytes_(make_counters(registry_, "vanillapost_peer_bytes_total",
                                 "Bytes sent to peers in datagrams, by kind and "
                                 "whether to another data centre")),
+      rollout_requests_(make_counters(
+          registry_, "vanillapost_rollout_requests_total",
+          "Requests sent to targets during roll-outs, by side of the version")),
+      rollout_answers_(
+          make_counters(registry_, "vanillapost_rollout_answers_total",
+                        "Ends of these, by side of the version and result")),
+      rollout_share_(prometheus::BuildGauge()
+                         .Name("vanillapost_rollout_share")
+                         .Help("Share of a service's requests that the ordered "
+                               "version gets")
+                         .Register(registry_)),
+      rollout_phase_(prometheus::BuildGauge()
+                         .Name("vanillapost_rollout_phase")
+                         .Help("Phase of a service's roll-out: 0 waiting, 1 "
+                               "canary, 2 ramping, 3 switching, 4 stopped, 5 "
+                               "finished")
+                         .Register(registry_)),
       in_flight_(make_gauge(registry_, "vanillapost_requests_in_flight",
                             "Requests without their whole answer")),
       body_bytes_(make_gauge(registry_, "vanillapost_body_bytes",
@@ -256,6 +278,32 @@
     send_delay_.Observe(seconds(delay));
 }
 
+void router_metrics::count_rollout_request(const service_id& service,
+                                           version_side side)
+{
+    rollout_requests_
+        .Add({{"service", service.value}, {"side", side_name(side)}})
+        .Increment();
+}
+
+void router_metrics::count_rollout_answer(const service_id& service,
+                                          version_side side, bool good)
+{
+    rollout_answers_
+        .Add({{"service", service.value},
+              {"side", side_name(side)},
+              {"result", good ? "good" : "bad"}})
+        .Increment();
+}
+
+void router_metrics::set_rollout(const service_id& service, rollout_phase phase,
+                                 double share)
+{
+    rollout_share_.Add({{"service", service.value}}).Set(share);
+    rollout_phase_.Add({{"service", service.value}})
+        .Set(static_cast<double>(phase));
+}
+
 void router_metrics::count_member_death()
 {
     member_deaths_.Increment();
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_REPORTING_ROUTER_METRICS_HPP
 
 #include "vanillapost/base.hpp"
+#include "vanillapost/rollouts.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
 #include <map>
@@ -77,6 +78,16 @@
     /// Records the time from the placement of an attempt until it was sent.
     void observe_send_delay(duration delay);
 
+    /// Counts a request that was sent to a target during a roll-out.
+    void count_rollout_request(const service_id& service, version_side side);
+    /// Counts the end of one.
+    void count_rollout_answer(const service_id& service, version_side side,
+                              bool good);
+    /// Sets how far a roll-out is, as this instance follows it.
+    /// \param share  of the requests that the target version gets
+    void set_rollout(const service_id& service, rollout_phase phase,
+                     double share);
+
     /// Counts a member that was declared dead.
     void count_member_death();
     /// Counts bytes of datagrams to peers.
@@ -130,6 +141,10 @@
     prometheus::Histogram& send_delay_;
     prometheus::Counter& member_deaths_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
+    prometheus::Family<prometheus::Counter>& rollout_requests_;
+    prometheus::Family<prometheus::Counter>& rollout_answers_;
+    prometheus::Family<prometheus::Gauge>& rollout_share_;
+    prometheus::Family<prometheus::Gauge>& rollout_phase_;
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& body_bytes_;
     prometheus::Gauge& version_;
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -54,6 +54,7 @@
     auto created = std::make_unique<attempt>();
     created->target = place.target;
     created->start_unix_ms = record->start_unix_ms;
+    created->version = record->version;
     created->sent_at = now;
     created->expected = place.expected;
     created->unexplained_slowdown = target_info->unexplained_slowdown(now);
@@ -78,6 +79,11 @@
                                                      : "repeat");
     tracker_.on_started();
     target_info->on_sent(now);
+    if (auto* rollout = context_.rollouts.find(service_)) {
+        rollout->on_sent(record->version);
+        context_.metrics.count_rollout_request(
+            service_, rollout->side_of(record->version));
+    }
     auto& started = *created;
     attempts_.push_back(std::move(created));
     started.call = context_.connections.pool_of(*record).start(
@@ -366,10 +372,14 @@
     const auto written_out_at = ended.call->out_at();
     if (written_out_at)
         context_.metrics.observe_send_delay(*written_out_at - ended.sent_at);
+    // Versions matter to who reads the log only while one replaces another.
+    const auto version = context_.rollouts.find(service_)
+                             ? ", version " + ended.version
+                             : std::string();
     char details[192];
     std::snprintf(details, sizeof details,
                   " [expected %lldms, load %.1f, report %lldms old, revision "
-                  "%s, %s]",
+                  "%s, %s",
                   static_cast<long long>(to_ms(ended.expected)), ended.load,
                   static_cast<long long>(
                       std::min<std::int64_t>(to_ms(ended.report_age), 99'999)),
@@ -380,6 +390,18 @@
                 std::to_string(taken) + "ms ";
     history_ += outcome;
     history_ += details;
+    history_ += version + "]";
+}
+
+void request_task::record_for_rollout(const attempt& ended, bool good,
+                                      duration taken)
+{
+    auto* rollout = context_.rollouts.find(service_);
+    if (!rollout || ended.is_relay)
+        return;
+    rollout->on_ended(rule_.name, ended.target, ended.version, good, taken);
+    context_.metrics.count_rollout_answer(
+        service_, rollout->side_of(ended.version), good);
 }
 
 void request_task::record_outcome(const attempt& ended,
@@ -393,6 +415,9 @@
         return;
     auto signal = health_signal::neutral;
     const auto* answer = std::get_if<attempt_answered>(&outcome);
+    if (may_have_run(outcome))
+        record_for_rollout(ended, answer && answer->status < first_server_error,
+                           taken);
     const bool clears =
         answer && answer->status < first_server_error && !ended.is_relay;
     if (clears && !context_.crashes.suspects().is_empty())
@@ -420,7 +445,7 @@
     context_.slot_freed(service_);
 }
 
-void request_task::abandon_attempts()
+void request_task::abandon_attempts(bool caller_left)
 {
     const auto now = context_.loop.now();
     for (auto& each : attempts_) {
@@ -435,6 +460,8 @@
         // A target that leaves some requests unanswered may still answer its
         // probes, which therefore do not reveal the failure.
         const bool overdue = taken > scaled(nominal, overdue_factor);
+        if (overdue && !caller_left)
+            record_for_rollout(*each, false, taken);
         target_info->on_ended(
             overdue ? health_signal::failed : health_signal::neutral, now);
         if (overdue)
--- a/apps/router/requests/request_context.hpp
+++ b/apps/router/requests/request_context.hpp
@@ -8,6 +8,7 @@
 #include "requests/idempotency_claims.hpp"
 #include "requests/route_statistics.hpp"
 #include "requests/service_budgets.hpp"
+#include "rollouts/rollout_controller.hpp"
 #include "state/cluster_view.hpp"
 #include "targets/prober.hpp"
 #include "targets/target_connections.hpp"
@@ -43,6 +44,7 @@
     crash_guard& crashes;
     /// To be called when a target refuses connections.
     std::function<void(const target_id&)> connection_refused;
+    rollout_controller& rollouts;
     /// Set once this instance has been told to stop.
     std::optional<shutdown_plan> shutdown;
 };
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -8,6 +8,7 @@
                                const platform_adapter& adapter,
                                const router_settings& settings,
                                router_metrics& metrics, router_log& log,
+                               rollout_controller& rollouts,
                                std::function<bool()> has_newest_configuration,
                                target_signal_handlers on_signals,
                                random_engine random)
@@ -45,6 +46,7 @@
                [this](const target_id& target) {
                    crashes_.on_connection_refused(target);
                },
+               rollouts,
                std::nullopt}
 {
 }
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -18,7 +18,7 @@
     request_engine(io::event_loop& loop, cluster_view& cluster,
                    const platform_adapter& adapter,
                    const router_settings& settings, router_metrics& metrics,
-                   router_log& log,
+                   router_log& log, rollout_controller& rollouts,
                    std::function<bool()> has_newest_configuration,
                    target_signal_handlers on_signals, random_engine random);
 
--- a/apps/router/requests/request_task.cpp
+++ b/apps/router/requests/request_task.cpp
@@ -112,6 +112,7 @@
     result.expected_kib = context_.statistics.expected_kib(rule_);
     result.repeatable = may_repeat(rule_.kind);
     result.tried = tried_;
+    result.version = version_;
     for (const auto& each : attempts_)
         result.tried.push_back(each->target);
     return result;
@@ -148,12 +149,49 @@
         arm_timer();
         return;
     }
-    follow(context_.cluster.placer.choose(make_placement_request(),
-                                          make_placement_options(now), now));
+    follow(choose_target(now));
     if (state_ != stage::ended)
         arm_timer();
 }
 
+placement_decision request_task::choose_target(time_point now)
+{
+    const auto choose = [&] {
+        return context_.cluster.placer.choose(make_placement_request(),
+                                              make_placement_options(now), now);
+    };
+    version_.reset();
+    auto* rollout = context_.rollouts.find(service_);
+    if (!rollout)
+        return choose();
+    choose_side(*rollout, now);
+    version_ = rollout->constraint(side_, now);
+    auto decision = choose();
+    const bool is_placeable = std::holds_alternative<place_on>(decision) ||
+                              std::holds_alternative<probe_first>(decision);
+    const bool may_fall_back =
+        version_ && side_ == version_side::target && rollout->uses_current(now);
+    if (is_placeable || !may_fall_back)
+        return decision;
+    side_ = version_side::current;
+    version_ = rollout->constraint(side_, now);
+    return choose();
+}
+
+// Picked once for each request, as each pick counts against the share; a
+// repeat of one that failed goes to the version that is known to work.
+void request_task::choose_side(service_rollout& rollout, time_point now)
+{
+    const auto order = rollout.order().revision;
+    if (tracker_.started() > 0)
+        side_ = rollout.for_repeat(now);
+    else if (picked_under_ == order)
+        side_ = rollout.for_waiting(side_, now);
+    else
+        side_ = rollout.pick(now);
+    picked_under_ = order;
+}
+
 // The request that was in flight when its target ended is repeated at once;
 // others like it wait, so that a harmful one ends no target for each of them.
 bool request_task::may_take_turn()
@@ -285,8 +323,10 @@
 
 void request_task::on_gone()
 {
-    if (state_ != stage::ended)
-        finish(request_result::gone, 0, "the caller closed its connection");
+    if (state_ == stage::ended)
+        return;
+    abandon_attempts(true);
+    finish(request_result::gone, 0, "the caller closed its connection");
 }
 
 // Probes the target of the running attempt, or hedges at once if that target
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -70,6 +70,7 @@
     {
         target_id target;
         std::int64_t start_unix_ms = 0; ///< of the target process
+        std::string version;            ///< of the target's software
         std::unique_ptr<io::target_call> call;
         time_point sent_at{};
         duration expected{};             ///< by the target's load and speed
@@ -93,6 +94,9 @@
     placement_options make_placement_options(time_point now) const;
     void follow(const placement_decision& decision);
     void place();
+    placement_decision choose_target(time_point now);
+    void choose_side(service_rollout& rollout, time_point now);
+    void record_for_rollout(const attempt& ended, bool good, duration taken);
     void check_running_attempt();
     void consider_hedge();
     void hedge();
@@ -133,7 +137,7 @@
                 const attempt_outcome& outcome);
     void repeat();
     void deliver(attempt& from);
-    void abandon_attempts();
+    void abandon_attempts(bool caller_left = false);
     /// Ends the request: breaks off an answer that has begun, or delivers the
     /// fallback if there is one, or refuses or fails the request.
     /// \param failure_status  status if the request may have run
@@ -186,6 +190,11 @@
     /// A target's error answer, delivered if no later attempt does better.
     std::unique_ptr<attempt> fallback_;
     std::vector<target_id> tried_;
+    /// The side of its service's roll-out that it was picked for, under the
+    /// order with this revision.
+    version_side side_ = version_side::current;
+    std::uint64_t picked_under_ = 0;            ///< 0: it was not picked yet
+    std::optional<version_constraint> version_; ///< of the next attempt
     std::string history_; ///< for the log: targets and outcomes of attempts
     claimed_result claimed_result_;
     io::timer timer_;
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -38,6 +38,12 @@
     return result;
 }
 
+rollout_limits rollout_limits_of(const router_settings& settings)
+{
+    return {settings.expose_share, settings.expose_slack,
+            settings.rollback_limit};
+}
+
 } // namespace
 
 router_server::router_server(io::event_loop& loop,
@@ -55,8 +61,11 @@
           }),
       peers_(loop, settings.peer_address, settings.seeds, cluster_, state_,
              metrics_, log_, random_engine(random_())),
+      rollouts_(loop, *platform.store, adapter_, cluster_, state_,
+                peers_.rollouts(), metrics_, log_, rollout_limits_of(settings),
+                random_engine(random_())),
       engine_(
-          loop, cluster_, adapter_, settings, metrics_, log_,
+          loop, cluster_, adapter_, settings, metrics_, log_, rollouts_,
           [this] { return state_.has_newest_configuration(); },
           {[this](const target_id& id, std::int64_t start_unix_ms) {
                peers_.on_target_leaving(id, start_unix_ms);
@@ -81,6 +90,8 @@
         peers_.on_reach_changed();
     });
     connect_crash_reports();
+    state_.on_rollouts(
+        [this](const auto& orders) { rollouts_.set_orders(orders); });
     loop.on_failure([this](const io::callback_failure& failure) {
         report_callback_failure(failure);
     });
--- a/apps/router/router_server.hpp
+++ b/apps/router/router_server.hpp
@@ -4,6 +4,7 @@
 #include "directory/directory.hpp"
 #include "peers/peer_controller.hpp"
 #include "requests/request_engine.hpp"
+#include "rollouts/rollout_controller.hpp"
 
 namespace vanillapost::router {
 
@@ -53,6 +54,7 @@
     cluster_view cluster_;
     state_controller state_;
     peer_controller peers_;
+    rollout_controller rollouts_;
     request_engine engine_;
     std::unique_ptr<idempotency_claims> claims_;
     directory directory_;
--- a/apps/router/state/state_controller.cpp
+++ b/apps/router/state/state_controller.cpp
@@ -514,6 +514,8 @@
     if (change.targets)
         replace_targets(std::move(*change.targets));
     apply_evacuations(std::move(change.evacuated));
+    if (on_rollouts_)
+        on_rollouts_(change.rollouts);
 }
 
 // Operators may list a target before its service, so all targets are refreshed.
--- a/apps/router/state/state_controller.hpp
+++ b/apps/router/state/state_controller.hpp
@@ -113,6 +113,14 @@
     /// Writes the list of members to the store, for instances that know none.
     void write_members();
 
+    /// Calls `handler` with all roll-outs that are ordered, whenever the
+    /// operators' rows have changed.
+    void on_rollouts(
+        std::function<void(const std::map<service_id, rollout_order>&)> handler)
+    {
+        on_rollouts_ = std::move(handler);
+    }
+
 private:
     struct table
     {
@@ -195,6 +203,8 @@
     router_metrics& metrics_;
     router_log& log_;
     change_handler on_change_;
+    std::function<void(const std::map<service_id, rollout_order>&)>
+        on_rollouts_;
     table operators_;
     table targets_;
     io::timer removal_timer_;
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -17,10 +17,11 @@
 endforeach()
 
 # The adapter to the users' platform, and parts of the router.
-foreach(name platform_decode store_client)
+foreach(name platform_decode store_client rollout_state_row)
   target_link_libraries(test_${name} PRIVATE vanillapost_platform)
 endforeach()
-foreach(part router_settings targets/target_message)
+foreach(part router_settings targets/target_message
+        rollouts/rollout_state_row peers/rollout_relay)
   get_filename_component(name ${part} NAME)
   target_sources(test_${name} PRIVATE apps/router/${part}.cpp)
   target_include_directories(test_${name} PRIVATE apps/router)
--- a/test/platform/store.py
+++ b/test/platform/store.py
@@ -46,6 +46,7 @@
         self.delay_s = self.jitter_s = 0.0
         self.page = MAX_ROWS
         self.calls = 0
+        self.on_change = None  # called with table, key and value
 
     @property
     def address(self):
@@ -118,6 +119,8 @@
             else:
                 self._rows[(table, part, key)] = (value, self.revision)
             self._log.append((self.revision, table, part, key, value))
+            if self.on_change:
+                self.on_change(table, key, value)
         await self._tell_waiting()
 
     async def _tell_waiting(self):
--- a/test/platform/target.py
+++ b/test/platform/target.py
@@ -66,7 +66,8 @@
     """
 
     def __init__(self, name, service, zone, store, truth, random, slots=2,
-                 queue=4, work_s=0.02, size=400, cold_per_s=3.4):
+                 queue=4, work_s=0.02, size=400, cold_per_s=3.4,
+                 version="v1"):
         self.id = name
         self.service = service
         self.zone = zone
@@ -75,6 +76,7 @@
         self.work_s = work_s
         self.size = size
         self.cold_per_s = cold_per_s
+        self.version = version
         self.slow = 1.0
         self.fail = self.lose = self.spoil = self.odd = 0.0
         self.dark = False
@@ -85,6 +87,7 @@
         self.limit = None
         self.limit_in_probes = False
         self.probes = 0
+        self.failures = []  # times of answers that `fail` spoilt
         self.draining = False
         self.cold_until = 0.0
         self.born = int(time.time() * 1000)
@@ -131,7 +134,7 @@
         left = max(self.cold_until - time.monotonic(), 0)
         await self._store.put("servers", self.id, json.dumps({
             "address": self.listed_address, "born": self.born,
-            "info": {"service": self.service, "version": "v1",
+            "info": {"service": self.service, "version": self.version,
                      "zone": self.zone, "maxConcurrency": self.slots},
             "status": {"state": state, "sequence": self._sequence,
                        "warmupLeft": f"{int(left * 1000)}ms"}}))
@@ -146,6 +149,11 @@
         await self._store.remove("servers", self.id)
         self._truth.note_leaving(self.id)
 
+    @property
+    def held(self):
+        """Requests that it works on or that wait there."""
+        return self._running + self._waiting
+
     def _is_odd(self):
         return self._random.random() < self.odd
 
@@ -286,6 +294,7 @@
             wire.close(writer, reset=True)
             return False
         if self._random.random() < self.fail:
+            self.failures.append(time.monotonic())
             body = b"failed"
             status = 500
         else:
