Name the versions of a roll-out's targets when a request is explained

The process tests of roll-outs keep their load up until a final state stands: one of two runs had its completion after the load had ended, 20 s after the start, with a time limit of 14 s.

--- a/apps/explain/explanation.cpp
+++ b/apps/explain/explanation.cpp
@@ -135,6 +135,39 @@
     return text + ".";
 }
 
+std::string explain_result(const log_line& line,
+                           const std::vector<told_attempt>& attempts)
+{
+    const auto result =
+        line.event == refused_event ? "refused" : line.field("result");
+    if (result == "refused")
+        return explain_refusal(line);
+    if (result == "failed")
+        return explain_failure(line, attempts);
+    if (result == "slow")
+        return explain_delay(attempts, line.field("taken_ms"));
+    if (result == "gone")
+        return "Its caller closed the connection after " +
+               line.field("taken_ms") + " ms.";
+    return "It was answered in time.";
+}
+
+// Routers note the version of a target while one replaces another.
+std::string name_versions(const std::vector<told_attempt>& attempts)
+{
+    constexpr std::string_view before = ", version ";
+    std::string text;
+    for (const auto& each : attempts) {
+        const auto at = each.outcome.rfind(before);
+        if (at == std::string::npos || !each.outcome.ends_with(']'))
+            continue;
+        const auto version = each.outcome.substr(at + before.size());
+        text += (text.empty() ? "" : ", ") + each.target + " has " +
+                version.substr(0, version.size() - 1);
+    }
+    return text.empty() ? "" : " Versions in a roll-out: " + text + ".";
+}
+
 } // namespace
 
 std::vector<told_attempt> parse_attempts(std::string_view text)
@@ -160,19 +193,8 @@
 
 std::string explain_request(const log_line& line)
 {
-    const auto result =
-        line.event == refused_event ? "refused" : line.field("result");
     const auto attempts = parse_attempts(line.field("attempts"));
-    if (result == "refused")
-        return explain_refusal(line);
-    if (result == "failed")
-        return explain_failure(line, attempts);
-    if (result == "slow")
-        return explain_delay(attempts, line.field("taken_ms"));
-    if (result == "gone")
-        return "Its caller closed the connection after " +
-               line.field("taken_ms") + " ms.";
-    return "It was answered in time.";
+    return explain_result(line, attempts) + name_versions(attempts);
 }
 
 request_path find_request(std::span<const log_line> lines,
--- a/apps/router/rollouts/rollout_controller.cpp
+++ b/apps/router/rollouts/rollout_controller.cpp
@@ -128,8 +128,9 @@
     if (running_.empty())
         return;
     bool all_finished = true;
-    for (auto& [service, each] : running_) {
-        loop_.guard("run roll-out", service.value, [&] { run(each, now); });
+    for (auto& entry : running_) {
+        auto& each = entry.second;
+        loop_.guard("run roll-out", entry.first.value, [&] { run(each, now); });
         all_finished = all_finished && each.rollout.is_finished();
     }
     timer_.start_once(all_finished ? finished_interval : work_interval);
--- a/test/explain.cpp
+++ b/test/explain.cpp
@@ -120,6 +120,23 @@
     }
 }
 
+TEST(Explain, VersionsAreNamedDuringARollOut)
+{
+    const auto contents = read(
+        line("t", "r", "request_ended",
+             ended("x", "failed", "answered",
+                   "i-1 5ms answered: 500 [expected 9ms, not out, version "
+                   "v2]; i-2 7ms answered: 500 [expected 9ms, version v1]")) +
+        line("t", "r", "request_ended",
+             ended("y", "good", "answered", "i-1 5ms answered: 200 [a]")));
+    const auto during = explain_request(contents.lines.at(0));
+    EXPECT_TRUE(
+        during.ends_with(" Versions in a roll-out: i-1 has v2, i-2 has v1."))
+        << during;
+    EXPECT_EQ(explain_request(contents.lines.at(1)),
+              "It was answered in time.");
+}
+
 RC_GTEST_PROP(Explain, SurvivesAnyLine, ())
 {
     auto text = line("t", "r", "request_ended",
--- a/test/platform/test_rollouts.py
+++ b/test/platform/test_rollouts.py
@@ -102,6 +102,8 @@
     def check_final(self, state):
         finals = [s for s in self.states if s != "serving"]
         assert finals == [state], self.states
+        print(f"{state} {self.ended_at - self.ordered_at:.1f} s after the "
+              f"order, {len(self.runs(self.new))} requests at the new targets")
 
 
 def log_of(router):
@@ -119,20 +121,40 @@
     return None
 
 
-def load(fleet, seconds):
-    return asyncio.create_task(fleet.load(
-        seconds, routes=[LOOKUP], callers=18, pause_s=0.04))
+def was_stopped(fleet):
+    return any('"rollout_stopped"' in log_of(r) for r in fleet.routers)
+
+
+class Load:
+    """Callers of the service, for as long as the block lasts."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._ends = False
+
+    async def __aenter__(self):
+        self._calls = asyncio.create_task(self._run())
+        await asyncio.sleep(1)
+        return self
+
+    async def __aexit__(self, *_):
+        self._ends = True
+        await self._calls
+
+    async def _run(self):
+        while not self._ends:
+            await self._fleet.load(2, routes=[LOOKUP], callers=18,
+                                   pause_s=0.04)
 
 
 def test_a_good_version_is_completed_once_and_the_old_targets_are_empty():
     async def scenario(fleet):
         rollout = Rollout(fleet, 14)
-        calls = load(fleet, 20)
-        await asyncio.sleep(1)
-        await rollout.begin()
-        await rollout.wait_end()
-        ended = time.monotonic()
-        await calls
+        async with Load(fleet):
+            await rollout.begin()
+            await rollout.wait_end()
+            ended = time.monotonic()
+            await asyncio.sleep(4)
         rollout.check_final("completed")
         assert rollout.states[0] == "serving"
         assert rollout.held_at_end == 0
@@ -142,16 +164,17 @@
     run(scenario)
 
 
-def test_a_version_that_fails_in_part_is_rolled_back():
+def roll_back(**faults):
+    """A roll-out of a bad version."""
+
     async def scenario(fleet):
         rollout = Rollout(fleet, 25)
-        calls = load(fleet, 28)
-        await asyncio.sleep(1)
-        await rollout.begin(fail=0.3)
-        await rollout.wait_end()
-        await asyncio.sleep(ARRIVAL_S + 1)
-        told = time.monotonic()
-        await calls
+        async with Load(fleet):
+            await rollout.begin(**faults)
+            await rollout.wait_end()
+            await asyncio.sleep(ARRIVAL_S + 1)
+            told = time.monotonic()
+            await asyncio.sleep(3)
         rollout.check_final("rolled_back")
         rollout.check_exposure()
         assert rollout.runs(rollout.new, told) == []
@@ -160,21 +183,28 @@
     run(scenario)
 
 
+def test_a_version_that_fails_in_part_is_rolled_back():
+    roll_back(fail=0.3)
+
+
+def test_a_version_that_is_several_times_slower_is_rolled_back():
+    roll_back(slow=6.0)
+
+
 def test_another_router_goes_on_when_the_one_that_decides_is_killed():
     async def scenario(fleet):
         rollout = Rollout(fleet, 16)
-        calls = load(fleet, 22)
-        await asyncio.sleep(1)
-        await rollout.begin()
-        await rollout.wait_for(lambda: decider_of(fleet), START_S)
-        await asyncio.sleep(4)
-        killed = decider_of(fleet)
-        killed.kill()
-        await killed.wait_end()
-        await asyncio.sleep(3)
-        killed.start()
-        await rollout.wait_end()
-        await calls
+        async with Load(fleet):
+            await rollout.begin()
+            await rollout.wait_for(lambda: decider_of(fleet), START_S)
+            await asyncio.sleep(4)
+            killed = decider_of(fleet)
+            killed.kill()
+            await killed.wait_end()
+            await asyncio.sleep(3)
+            killed.start()
+            await rollout.wait_end()
+            await asyncio.sleep(1)
         rollout.check_final("completed")
         assert rollout.held_at_end == 0
 
@@ -184,34 +214,33 @@
 def test_a_lost_answer_and_a_store_that_is_away_leave_one_final_state():
     async def scenario(fleet):
         rollout = Rollout(fleet, 30)
-        calls = load(fleet, 20)
-        await asyncio.sleep(1)
-        await rollout.begin(fail=0.5)
-        await rollout.wait_for(lambda: rollout.states, START_S)
         touch = fleet.truth.touch
-        with touch.lasting(touch.core, touch.core_down):
-            fleet.store.lose = 1.0  # what it is told it does
-            await rollout.wait_for(
-                lambda: any('"rollout_stopped"' in log_of(r)
-                            for r in fleet.routers), START_S)
-            await asyncio.sleep(1)
-            fleet.store.mode = "reset"
+        async with Load(fleet):
+            await rollout.begin(fail=0.5)
+            await rollout.wait_for(lambda: rollout.states, START_S)
+            with touch.lasting(touch.core, touch.core_down):
+                fleet.store.lose = 1.0  # what it is told it does
+                await rollout.wait_for(lambda: was_stopped(fleet), START_S)
+                await asyncio.sleep(1)
+                fleet.store.mode = "reset"
+                await asyncio.sleep(2)
+                fleet.store.lose = 0.0
+                fleet.store.mode = "ok"
+            await rollout.wait_end()
+            await asyncio.sleep(ARRIVAL_S + 1)
+            told = time.monotonic()
             await asyncio.sleep(2)
-            fleet.store.lose = 0.0
-            fleet.store.mode = "ok"
-        await rollout.wait_end()
-        ended = time.monotonic()
-        await calls
         rollout.check_final("rolled_back")
         rollout.check_exposure()
-        assert rollout.runs(rollout.new, ended + ARRIVAL_S + 1) == []
+        assert rollout.runs(rollout.new, told) == []
 
     run(scenario)
 
 
 def test_without_an_order_nothing_is_asked_or_sent():
     async def scenario(fleet):
-        await load(fleet, 3)
+        async with Load(fleet):
+            await asyncio.sleep(1)
         assert not fleet.store.has("status", KEY)
         for router in fleet.routers:
             assert "rollout" not in log_of(router)
