--- a/test/platform/test_rollouts.py
+++ b/test/platform/test_rollouts.py
@@ -237,6 +237,30 @@
     run(scenario)
 
 
+def test_routers_that_all_start_anew_know_what_was_completed():
+    async def scenario(fleet):
+        rollout = Rollout(fleet, 8)
+        async with Load(fleet):
+            await rollout.begin()
+            await rollout.wait_end()
+            await asyncio.sleep(3)  # the old targets have gone by then
+        for router in fleet.routers:
+            router.kill()
+        for router in fleet.routers:
+            await router.wait_end()
+            router.start()
+        await fleet.wait_ready()
+        await asyncio.sleep(1)
+        again = time.monotonic()
+        async with Load(fleet):
+            await asyncio.sleep(1)
+        assert fleet.truth.served(again) > 0.99
+        assert len(rollout.runs(rollout.new, again)) > 50
+        rollout.check_final("completed")
+
+    run(scenario)
+
+
 def test_without_an_order_nothing_is_asked_or_sent():
     async def scenario(fleet):
         async with Load(fleet):
