Share quotas of organisations over all instances

A quota is a rate and a burst over all instances together. Kept by each instance it is exceeded, and in equal parts it is wasted, as callers of one organisation sit at few instances.

An owner uses its own tokens only while the other answers, and only a majority grants, so that an instance that is cut off stops by itself. Nothing uses it yet.

--- /dev/null
+++ b/src/quotas/quota_membership.cpp
@@ -0,0 +1,51 @@
+#include "vanillapost/src/quotas/quota_membership.hpp"
+
+#include <algorithm>
+
+namespace vanillapost {
+
+namespace {
+
+/// Longer than a member needs to be noticed again after a restart.
+constexpr duration minority_patience = std::chrono::seconds(10);
+
+} // namespace
+
+quota_membership::quota_membership(entry_id self, time_point joining_until)
+    : joining_until_(joining_until), known_{std::move(self)}
+{
+}
+
+void quota_membership::forget(const quota_member_lists& lists, time_point now)
+{
+    for (const auto& each : lists.left)
+        known_.erase(each);
+    const bool is_minority = lists.live.size() * 2 <= known_.size();
+    if (!is_minority || !lists.reaches_store)
+        witnessed_since_.reset();
+    else if (!witnessed_since_)
+        witnessed_since_ = now;
+    const bool is_witnessed =
+        witnessed_since_ && now >= *witnessed_since_ + minority_patience;
+    if (is_minority && !is_witnessed)
+        return;
+    known_ = {lists.live.begin(), lists.live.end()};
+    if (!is_witnessed)
+        known_.insert(lists.dead.begin(), lists.dead.end());
+}
+
+quota_view quota_membership::update(const quota_member_lists& lists,
+                                    time_point now)
+{
+    known_.insert(lists.live.begin(), lists.live.end());
+    known_.insert(lists.dead.begin(), lists.dead.end());
+    forget(lists, now);
+    quota_view view;
+    view.members = {lists.live.begin(), lists.live.end()};
+    std::ranges::sort(view.members);
+    view.known = known_.size();
+    view.joining_until = joining_until_;
+    return view;
+}
+
+} // namespace vanillapost
