Refuse requests of organisations beyond their quotas

The router reads quotas but let everything through. Reports and grants are datagrams to single members; nothing is sent where no organisation has a limit. Retries and hedges are charged too. A leaving instance grants no more.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -64,6 +64,9 @@
       crashes_(
           loop,
           [this](const json& message) { send_to_peers("crash", message); }),
+      quotas_([this](const entry_id& to, const json& message) {
+          send_to_member("quota", to, message);
+      }),
       monitor_(
           loop, cluster, metrics, log, random_engine(random_()),
           {[this](const member& to) { send_probe_to(to); },
@@ -229,6 +232,13 @@
     socket_.send(to, bytes);
 }
 
+void peer_controller::send_to_member(std::string_view kind, const entry_id& to,
+                                     const json& message)
+{
+    if (const auto* peer = cluster_.members.find_live(to, loop_.now()))
+        send(kind, *peer, write_message(message));
+}
+
 void peer_controller::send_to_peers(std::string_view kind, const json& message)
 {
     const auto bytes = write_message(message);
@@ -336,6 +346,10 @@
     }
     if (rate_limit_relay::has_rate_limits(message))
         return;
+    if (quota_relay::is_message(message)) {
+        quotas_.handle(message);
+        return;
+    }
     if (crash_relay::is_message(message)) {
         crashes_.handle(message, from.ip);
         return;
--- a/apps/router/peers/peer_controller.hpp
+++ b/apps/router/peers/peer_controller.hpp
@@ -6,6 +6,7 @@
 #include "peers/departure_relay.hpp"
 #include "peers/member_monitor.hpp"
 #include "peers/peer_discovery.hpp"
+#include "peers/quota_relay.hpp"
 #include "peers/rate_limit_relay.hpp"
 #include "peers/state_request.hpp"
 #include "reporting/router_log.hpp"
@@ -80,6 +81,17 @@
         crashes_.set_handlers(std::move(handlers));
     }
 
+    /// Asks an owner of quotas for requests.
+    void report_demand(const quota_call& call)
+    {
+        quotas_.report(call);
+    }
+
+    void set_quota_handlers(quota_relay_handlers handlers)
+    {
+        quotas_.set_handlers(std::move(handlers));
+    }
+
     /// A target told this instance something new about its rate limit.
     void on_rate_limit(const target_id& id, rate_limit_change change)
     {
@@ -93,6 +105,8 @@
     void send(std::string_view kind, const member& to, std::string_view bytes);
     void answer(std::string_view kind, const io::address& to,
                 std::string_view bytes);
+    void send_to_member(std::string_view kind, const entry_id& to,
+                        const nlohmann::json& message);
     void send_to_peers(std::string_view kind, const nlohmann::json& message);
     void send_heartbeat();
     void send_heartbeat_once();
@@ -127,6 +141,7 @@
     departure_relay departures_;
     rate_limit_relay limits_;
     crash_relay crashes_;
+    quota_relay quotas_;
     member_monitor monitor_;
     change_relay changes_;
     state_request state_request_;
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -124,6 +124,11 @@
       peer_bytes_(make_counters(registry_, "vanillapost_peer_bytes_total",
                                 "Bytes sent to peers in datagrams, by kind and "
                                 "whether to another data centre")),
+      quotas_(prometheus::BuildGauge()
+                  .Name("vanillapost_quota_requests")
+                  .Help("Requests of organisations with a quota since the "
+                        "start, by result; granted: that owners allowed")
+                  .Register(registry_)),
       in_flight_(make_gauge(registry_, "vanillapost_requests_in_flight",
                             "Requests without their whole answer")),
       body_bytes_(make_gauge(registry_, "vanillapost_body_bytes",
@@ -279,6 +284,26 @@
         .Increment(static_cast<double>(bytes));
 }
 
+void router_metrics::set_quotas(
+    std::span<const std::pair<std::string, quota_usage>> organisations)
+{
+    for (auto* gauge : std::exchange(quota_gauges_, {}))
+        quotas_.Remove(gauge);
+    const auto set = [&](const std::string& organisation, const char* result,
+                         std::uint64_t count) {
+        auto& gauge =
+            quotas_.Add({{"organisation", organisation}, {"result", result}});
+        gauge.Set(static_cast<double>(count));
+        quota_gauges_.push_back(&gauge);
+    };
+    for (const auto& [organisation, usage] : organisations) {
+        set(organisation, "admitted", usage.admitted);
+        set(organisation, "refused", usage.refused);
+        set(organisation, "repeated", usage.extra_attempts);
+        set(organisation, "granted", usage.granted);
+    }
+}
+
 void router_metrics::set_in_flight(std::size_t requests)
 {
     in_flight_.Set(static_cast<double>(requests));
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_REPORTING_ROUTER_METRICS_HPP
 
 #include "vanillapost/base.hpp"
+#include "vanillapost/quotas.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
 #include <map>
@@ -10,7 +11,11 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <span>
+#include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace vanillapost::router {
 
@@ -86,6 +91,11 @@
     void count_peer_bytes(std::string_view kind, bool crosses,
                           std::size_t bytes);
 
+    /// Sets what became of the requests of organisations with a quota since the
+    /// start; of those that are not named any more nothing is told.
+    void set_quotas(
+        std::span<const std::pair<std::string, quota_usage>> organisations);
+
     void set_in_flight(std::size_t requests);
     void set_configuration_version(std::uint64_t version);
     void set_store_reachable(bool reachable);
@@ -132,6 +142,8 @@
     prometheus::Histogram& send_delay_;
     prometheus::Counter& member_deaths_;
     prometheus::Family<prometheus::Counter>& peer_bytes_;
+    prometheus::Family<prometheus::Gauge>& quotas_;
+    std::vector<prometheus::Gauge*> quota_gauges_;
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& body_bytes_;
     prometheus::Gauge& version_;
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -72,8 +72,10 @@
     request.max_silence =
         may_repeat(rule_.kind) ? max_silence_repeatable : max_silence_once;
     const bool first = tracker_.started() == 0;
-    if (!first)
+    if (!first) {
         context_.budgets.of(service_).on_retry(now);
+        context_.charge_quota(organisation_);
+    }
     context_.metrics.count_attempt(service_, first   ? "first"
                                              : hedge ? "hedge"
                                                      : "repeat");
--- a/apps/router/requests/request_context.hpp
+++ b/apps/router/requests/request_context.hpp
@@ -43,6 +43,8 @@
     crash_guard& crashes;
     /// To be called when a target refuses connections.
     std::function<void(const target_id&)> connection_refused;
+    /// To be called when an admitted request is sent to one more target.
+    std::function<void(const std::optional<organisation_id>&)> charge_quota;
     /// Set once this instance has been told to stop.
     std::optional<shutdown_plan> shutdown;
 };
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -27,6 +27,7 @@
       budgets_(settings.repeats, loop.now()),
       crashes_(loop, metrics, log, random_(),
                cluster.members.self().name.value),
+      quotas_(loop, cluster, metrics, log),
       context_{loop,
                cluster,
                adapter,
@@ -45,10 +46,30 @@
                [this](const target_id& target) {
                    crashes_.on_connection_refused(target);
                },
+               [this](const std::optional<organisation_id>& organisation) {
+                   quotas_.charge(organisation);
+               },
                std::nullopt}
 {
 }
 
+void request_engine::on_quota_report(
+    std::function<void(const quota_call&)> handler)
+{
+    quota_gate_handlers handlers;
+    handlers.on_admitted = [this](std::unique_ptr<io::caller_exchange> exchange,
+                                  incoming_request request) {
+        dispatch(std::move(exchange), std::move(request));
+    };
+    handlers.on_refused = [this](io::caller_exchange& exchange,
+                                 const problem& why,
+                                 const incoming_request& request) {
+        refuse(exchange, why, request);
+    };
+    handlers.on_report_due = std::move(handler);
+    quotas_.set_handlers(std::move(handlers));
+}
+
 void request_engine::set_claims(idempotency_claims& claims)
 {
     claims_ = &claims;
@@ -77,6 +98,12 @@
     }
     if (request.rule.kind == request_kind::download)
         exchange->hold_followers();
+    quotas_.handle(std::move(exchange), std::move(request));
+}
+
+void request_engine::dispatch(std::unique_ptr<io::caller_exchange> exchange,
+                              incoming_request request)
+{
     if (!claims_ || request.idempotency_key.empty()) {
         begin(std::move(exchange), std::move(request), 0);
         return;
@@ -93,6 +120,7 @@
         task->limit_deadline(plan.answers_until());
     if (claims_)
         claims_->limit_answers(plan.answers_until());
+    quotas_.leave();
 }
 
 void request_engine::begin(std::unique_ptr<io::caller_exchange> exchange,
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_REQUESTS_REQUEST_ENGINE_HPP
 
 #include "requests/crash_guard.hpp"
+#include "requests/quota_gate.hpp"
 #include "requests/request_task.hpp"
 #include "router_settings.hpp"
 #include "targets/reach_monitor.hpp"
@@ -34,6 +35,15 @@
         return crashes_;
     }
 
+    /// Messages about quotas go in here.
+    quota_gate& quotas()
+    {
+        return quotas_;
+    }
+
+    /// \param handler  called with what is to be asked of another instance
+    void on_quota_report(std::function<void(const quota_call&)> handler);
+
     /// To be called when this instance is told to stop: what it cannot answer
     /// in time is refused, and every request gets its final answer by the
     /// plan's end.
@@ -59,6 +69,8 @@
 private:
     void refuse(io::caller_exchange& exchange, const problem& why,
                 const incoming_request& request);
+    void dispatch(std::unique_ptr<io::caller_exchange> exchange,
+                  incoming_request request);
     /// \param claim  number of the request's claim, 0 if it has none
     void begin(std::unique_ptr<io::caller_exchange> exchange,
                incoming_request request, std::uint64_t claim);
@@ -82,6 +94,7 @@
     service_budgets budgets_;
     route_statistics statistics_;
     crash_guard crashes_;
+    quota_gate quotas_;
     request_context context_;
     /// Null if the platform has no table.
     idempotency_claims* claims_ = nullptr;
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -81,6 +81,7 @@
         peers_.on_reach_changed();
     });
     connect_crash_reports();
+    connect_quotas();
     loop.on_failure([this](const io::callback_failure& failure) {
         report_callback_failure(failure);
     });
@@ -121,6 +122,21 @@
     peers_.set_crash_handlers(std::move(handlers));
 }
 
+void router_server::connect_quotas()
+{
+    engine_.on_quota_report(
+        [this](const quota_call& call) { peers_.report_demand(call); });
+    auto& quotas = engine_.quotas();
+    quota_relay_handlers handlers;
+    handlers.on_report = [&quotas](const quota_report& report) {
+        return quotas.on_report(report);
+    };
+    handlers.on_reply = [&quotas](const quota_reply& reply) {
+        quotas.on_reply(reply);
+    };
+    peers_.set_quota_handlers(std::move(handlers));
+}
+
 void router_server::report_callback_failure(const io::callback_failure& failure)
 {
     metrics_.count_callback_failure();
@@ -227,6 +243,7 @@
         limits_ = limits;
         callers_.set_limits(server_limits(limits, settings_));
     }
+    engine_.quotas().update(state_.access() == store_access::works);
     update_metrics(now);
 }
 
--- a/apps/router/router_server.hpp
+++ b/apps/router/router_server.hpp
@@ -38,6 +38,7 @@
 private:
     void handle(std::unique_ptr<io::caller_exchange> exchange);
     void connect_crash_reports();
+    void connect_quotas();
     void report_callback_failure(const io::callback_failure& failure);
     void log_malformed_row(std::string_view table, const malformed_row& row);
     void check();
--- a/include/vanillapost/src/members/member_table.hpp
+++ b/include/vanillapost/src/members/member_table.hpp
@@ -101,6 +101,13 @@
     ///         last call
     bool advance(time_point now);
 
+    /// Members that this instance has known to be live, that are silent now and
+    /// did not announce their shutdown.
+    std::vector<entry_id> missed_peers(time_point now) const;
+
+    /// Members that announced their shutdown.
+    std::vector<entry_id> leaving_peers() const;
+
     /// Ready members that are not idle, without this one.
     std::vector<member> active_peers(time_point now) const;
 
--- a/include/vanillapost/src/quotas/quota_membership.hpp
+++ b/include/vanillapost/src/quotas/quota_membership.hpp
@@ -7,16 +7,17 @@
 
 #include <optional>
 #include <set>
-#include <span>
+#include <vector>
 
 namespace vanillapost {
 
 /// What an instance currently knows of the others.
-struct quota_member_lists
+struct quota_member_names
 {
-    std::span<const entry_id> live; ///< this instance included
-    std::span<const entry_id> dead; ///< silent, and did not leave
-    std::span<const entry_id> left; ///< announced that they stop
+    /// This instance included, unless it leaves.
+    std::vector<entry_id> live;
+    std::vector<entry_id> dead; ///< silent, and did not leave
+    std::vector<entry_id> left; ///< announced that they stop
     bool reaches_store = false;
 };
 
@@ -32,10 +33,10 @@
     quota_membership(entry_id self, time_point joining_until);
 
     /// The view from which the quotas' owners follow.
-    quota_view update(const quota_member_lists& lists, time_point now);
+    quota_view update(const quota_member_names& names, time_point now);
 
 private:
-    void forget(const quota_member_lists& lists, time_point now);
+    void forget(const quota_member_names& names, time_point now);
 
     time_point joining_until_{};
     std::set<entry_id> known_;
--- a/include/vanillapost/src/quotas/quota_view.hpp
+++ b/include/vanillapost/src/quotas/quota_view.hpp
@@ -12,13 +12,15 @@
 /// The members as one instance sees them.
 struct quota_view
 {
-    std::vector<entry_id> members; ///< those that live, this instance included
+    std::vector<entry_id> members; ///< those that live and do not leave
     /// Members that have not left, the dead included: a member that seems dead
     /// may be on the other side of a partition.
     std::size_t known = 1;
     /// Until then this instance may have just started, and members that start
     /// with it are not all among `members`.
     time_point joining_until{};
+
+    bool operator==(const quota_view&) const = default;
 };
 
 /// Whether the live members are more than half of the known ones. Of two
--- a/src/members/member_table.cpp
+++ b/src/members/member_table.cpp
@@ -190,6 +190,27 @@
     return result;
 }
 
+std::vector<entry_id> member_table::missed_peers(time_point now) const
+{
+    std::vector<entry_id> result;
+    for (const auto& [name, peer] : peers_) {
+        const bool was_known =
+            peer.last_heard || peer.reported_live || peer.dead_since;
+        if (was_known && !peer.heartbeat.leaving && !is_live(peer, now))
+            result.push_back(name);
+    }
+    return result;
+}
+
+std::vector<entry_id> member_table::leaving_peers() const
+{
+    std::vector<entry_id> result;
+    for (const auto& [name, peer] : peers_)
+        if (peer.heartbeat.leaving)
+            result.push_back(name);
+    return result;
+}
+
 std::vector<member> member_table::ready_peers(time_point now) const
 {
     std::vector<member> result;
--- a/src/quotas/quota_limiter.cpp
+++ b/src/quotas/quota_limiter.cpp
@@ -60,6 +60,8 @@
 
 void quota_limiter::set_view(const quota_view& view, time_point now)
 {
+    if (view == view_)
+        return;
     view_ = view;
     for (auto& [id, each] : entries_)
         update_owners(id, each, now);
@@ -169,7 +171,8 @@
         report.demands.push_back(std::move(*demand));
     }
     // Small demands go to one owner, so they take turns.
-    std::ranges::rotate(each.owners, each.owners.begin() + 1);
+    if (!each.owners.empty())
+        std::ranges::rotate(each.owners, each.owners.begin() + 1);
 }
 
 std::vector<quota_call> quota_limiter::next_reports(time_point now)
--- a/src/quotas/quota_membership.cpp
+++ b/src/quotas/quota_membership.cpp
@@ -16,12 +16,12 @@
 {
 }
 
-void quota_membership::forget(const quota_member_lists& lists, time_point now)
+void quota_membership::forget(const quota_member_names& names, time_point now)
 {
-    for (const auto& each : lists.left)
+    for (const auto& each : names.left)
         known_.erase(each);
-    const bool is_minority = lists.live.size() * 2 <= known_.size();
-    if (!is_minority || !lists.reaches_store)
+    const bool is_minority = names.live.size() * 2 <= known_.size();
+    if (!is_minority || !names.reaches_store)
         witnessed_since_.reset();
     else if (!witnessed_since_)
         witnessed_since_ = now;
@@ -29,19 +29,19 @@
         witnessed_since_ && now >= *witnessed_since_ + minority_patience;
     if (is_minority && !is_witnessed)
         return;
-    known_ = {lists.live.begin(), lists.live.end()};
+    known_ = {names.live.begin(), names.live.end()};
     if (!is_witnessed)
-        known_.insert(lists.dead.begin(), lists.dead.end());
+        known_.insert(names.dead.begin(), names.dead.end());
 }
 
-quota_view quota_membership::update(const quota_member_lists& lists,
+quota_view quota_membership::update(const quota_member_names& names,
                                     time_point now)
 {
-    known_.insert(lists.live.begin(), lists.live.end());
-    known_.insert(lists.dead.begin(), lists.dead.end());
-    forget(lists, now);
+    known_.insert(names.live.begin(), names.live.end());
+    known_.insert(names.dead.begin(), names.dead.end());
+    forget(names, now);
     quota_view view;
-    view.members = {lists.live.begin(), lists.live.end()};
+    view.members = {names.live.begin(), names.live.end()};
     std::ranges::sort(view.members);
     view.known = known_.size();
     view.joining_until = joining_until_;
--- a/test/quotas.cpp
+++ b/test/quotas.cpp
@@ -391,6 +391,38 @@
     }
 }
 
+std::vector<entry_id> first_members(int count)
+{
+    std::vector<entry_id> result;
+    for (int i = 0; i < count; ++i)
+        result.push_back(entry_id{"edge-" + std::to_string(i)});
+    return result;
+}
+
+TEST(QuotaMembership, AMinorityForgetsNobodyUnlessItReachesTheStore)
+{
+    const time_point now{100s};
+    quota_membership seen(entry_id{"edge-0"}, now);
+    (void)seen.update({first_members(6), {}, {}, false}, now);
+    const auto cut = seen.update({first_members(2), {}, {}, false}, now + 2min);
+    EXPECT_FALSE(has_majority(cut));
+    const quota_member_names reaching{first_members(2), {}, {}, true};
+    EXPECT_FALSE(has_majority(seen.update(reaching, now + 3min)));
+    EXPECT_FALSE(has_majority(seen.update(reaching, now + 3min + 9s)));
+    EXPECT_TRUE(has_majority(seen.update(reaching, now + 3min + 10s)));
+}
+
+TEST(QuotaMembership, MembersThatLeaveAreNotMissed)
+{
+    const time_point now{100s};
+    const auto all = first_members(6);
+    quota_membership seen(entry_id{"edge-0"}, now);
+    (void)seen.update({all, {}, {}, false}, now);
+    const quota_member_names rest{
+        first_members(2), {}, {all.begin() + 2, all.end()}, false};
+    EXPECT_TRUE(has_majority(seen.update(rest, now)));
+}
+
 TEST(QuotaMessages, ComeThroughUnchanged)
 {
     const quota_report report{
