--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -64,7 +64,8 @@
     handlers.on_refused = [this](io::caller_exchange& exchange,
                                  const problem& why,
                                  const incoming_request& request) {
-        refuse(exchange, why, request);
+        // Callers get times of their own already.
+        refuse_exactly(exchange, why, request);
     };
     handlers.on_report_due = std::move(handler);
     quotas_.set_handlers(std::move(handlers));
@@ -148,6 +149,17 @@
 
 void request_engine::refuse(io::caller_exchange& exchange, const problem& why,
                             const incoming_request& request)
+{
+    auto answer = why;
+    if (answer.retry_after)
+        answer.retry_after =
+            jitter_retry_after({*answer.retry_after}, draw_share(random_));
+    refuse_exactly(exchange, answer, request);
+}
+
+void request_engine::refuse_exactly(io::caller_exchange& exchange,
+                                    const problem& why,
+                                    const incoming_request& request)
 {
     if (why.status == status_not_found)
         metrics_.count_unrouted();
@@ -160,11 +172,7 @@
          {"configuration", std::to_string(cluster_.routes().config().version)},
          {"status", std::to_string(why.status)},
          {"reason", why.detail}});
-    auto answer = why;
-    if (answer.retry_after)
-        answer.retry_after =
-            jitter_retry_after({*answer.retry_after}, draw_share(random_));
-    reply_problem(exchange, answer, request.id, adapter_);
+    reply_problem(exchange, why, request.id, adapter_);
 }
 
 int request_engine::waiting(const service_id& service) const
--- a/apps/router/requests/request_engine.hpp
+++ b/apps/router/requests/request_engine.hpp
@@ -69,6 +69,9 @@
 private:
     void refuse(io::caller_exchange& exchange, const problem& why,
                 const incoming_request& request);
+    /// Refuses it without a random change of the time to come back.
+    void refuse_exactly(io::caller_exchange& exchange, const problem& why,
+                        const incoming_request& request);
     void dispatch(std::unique_ptr<io::caller_exchange> exchange,
                   incoming_request request);
     /// \param claim  number of the request's claim, 0 if it has none
--- a/src/quotas/quota_limiter.cpp
+++ b/src/quotas/quota_limiter.cpp
@@ -172,7 +172,8 @@
     }
     // Small demands go to one owner, so they take turns.
     if (!each.owners.empty())
-        std::ranges::rotate(each.owners, each.owners.begin() + 1);
+        std::rotate(each.owners.begin(), each.owners.begin() + 1,
+                    each.owners.end());
 }
 
 std::vector<quota_call> quota_limiter::next_reports(time_point now)
