--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_REPORTING_ROUTER_METRICS_HPP
 
 #include "vanillapost/base.hpp"
+#include "vanillapost/quotas.hpp"
 #include "vanillapost/rollouts.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
@@ -11,7 +12,11 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <span>
+#include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace vanillapost::router {
 
@@ -97,6 +102,11 @@
     void count_peer_bytes(std::string_view kind, bool crosses,
                           std::size_t bytes);
 
+    /// Sets what became of the requests of organisations with a quota since the
+    /// start; of those that are not named any more nothing is told.
+    void set_quotas(
+        std::span<const std::pair<std::string, quota_usage>> organisations);
+
     void set_in_flight(std::size_t requests);
     void set_configuration_version(std::uint64_t version);
     void set_store_reachable(bool reachable);
@@ -147,6 +157,8 @@
     prometheus::Family<prometheus::Counter>& rollout_answers_;
     prometheus::Family<prometheus::Gauge>& rollout_share_;
     prometheus::Family<prometheus::Gauge>& rollout_phase_;
+    prometheus::Family<prometheus::Gauge>& quotas_;
+    std::vector<prometheus::Gauge*> quota_gauges_;
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& body_bytes_;
     prometheus::Gauge& version_;
--- a/apps/router/requests/request_engine.cpp
+++ b/apps/router/requests/request_engine.cpp
@@ -28,6 +28,7 @@
       budgets_(settings.repeats, loop.now()),
       crashes_(loop, metrics, log, random_(),
                cluster.members.self().name.value),
+      quotas_(loop, cluster, metrics, log),
       context_{loop,
                cluster,
                adapter,
@@ -47,10 +48,31 @@
                    crashes_.on_connection_refused(target);
                },
                rollouts,
+               [this](const std::optional<organisation_id>& organisation) {
+                   quotas_.charge(organisation);
+               },
                std::nullopt}
 {
 }
 
+void request_engine::on_quota_report(
+    std::function<void(const quota_call&)> handler)
+{
+    quota_gate_handlers handlers;
+    handlers.on_admitted = [this](std::unique_ptr<io::caller_exchange> exchange,
+                                  incoming_request request) {
+        dispatch(std::move(exchange), std::move(request));
+    };
+    handlers.on_refused = [this](io::caller_exchange& exchange,
+                                 const problem& why,
+                                 const incoming_request& request) {
+        // Callers get times of their own already.
+        refuse_exactly(exchange, why, request);
+    };
+    handlers.on_report_due = std::move(handler);
+    quotas_.set_handlers(std::move(handlers));
+}
+
 void request_engine::set_claims(idempotency_claims& claims)
 {
     claims_ = &claims;
@@ -79,6 +101,12 @@
     }
     if (request.rule.kind == request_kind::download)
         exchange->hold_followers();
+    quotas_.handle(std::move(exchange), std::move(request));
+}
+
+void request_engine::dispatch(std::unique_ptr<io::caller_exchange> exchange,
+                              incoming_request request)
+{
     if (!claims_ || request.idempotency_key.empty()) {
         begin(std::move(exchange), std::move(request), 0);
         return;
@@ -95,6 +123,7 @@
         task->limit_deadline(plan.answers_until());
     if (claims_)
         claims_->limit_answers(plan.answers_until());
+    quotas_.leave();
 }
 
 void request_engine::begin(std::unique_ptr<io::caller_exchange> exchange,
@@ -122,6 +151,17 @@
 
 void request_engine::refuse(io::caller_exchange& exchange, const problem& why,
                             const incoming_request& request)
+{
+    auto answer = why;
+    if (answer.retry_after)
+        answer.retry_after =
+            jitter_retry_after({*answer.retry_after}, draw_share(random_));
+    refuse_exactly(exchange, answer, request);
+}
+
+void request_engine::refuse_exactly(io::caller_exchange& exchange,
+                                    const problem& why,
+                                    const incoming_request& request)
 {
     if (why.status == status_not_found)
         metrics_.count_unrouted();
@@ -134,11 +174,7 @@
          {"configuration", std::to_string(cluster_.routes().config().version)},
          {"status", std::to_string(why.status)},
          {"reason", why.detail}});
-    auto answer = why;
-    if (answer.retry_after)
-        answer.retry_after =
-            jitter_retry_after({*answer.retry_after}, draw_share(random_));
-    reply_problem(exchange, answer, request.id, adapter_);
+    reply_problem(exchange, why, request.id, adapter_);
 }
 
 int request_engine::waiting(const service_id& service) const
