--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -4,6 +4,7 @@
 #include "vanillapost/base.hpp"
 #include "vanillapost/quotas.hpp"
 #include "vanillapost/rollouts.hpp"
+#include "vanillapost/src/io/client_ledger.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
 #include <map>
@@ -114,6 +115,7 @@
     void set_targets(std::size_t listed);
     /// \param bytes  reserved for large bodies of requests
     void set_body_bytes(std::size_t bytes);
+    void set_clients(const io::client_ledger& clients);
     void set_lost_log_lines(std::uint64_t lines);
 
     const prometheus::Registry& registry() const
@@ -161,6 +163,11 @@
     std::vector<prometheus::Gauge*> quota_gauges_;
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& body_bytes_;
+    prometheus::Gauge& client_bytes_;
+    prometheus::Gauge& client_connections_;
+    prometheus::Family<prometheus::Counter>& client_closings_;
+    prometheus::Counter& closed_for_bytes_;
+    prometheus::Counter& closed_for_place_;
     prometheus::Gauge& version_;
     prometheus::Gauge& store_;
     prometheus::Gauge& members_;
--- a/apps/router/router_settings.cpp
+++ b/apps/router/router_settings.cpp
@@ -148,6 +148,8 @@
     result.memory_limit_mb =
         reader.number("memory_limit_mb", min_memory_limit_mb,
                       max_memory_limit_mb, result.memory_limit_mb);
+    result.descriptor_limit = reader.integer(
+        "descriptor_limit", 0, max_descriptor_limit, result.descriptor_limit);
     result.log_level = static_cast<io::log_level>(reader.choice(
         "log_level",
         {level_names[0], level_names[1], level_names[2], level_names[3]}, 1));
@@ -180,6 +182,7 @@
             {"expose_slack", settings.expose_slack},
             {"rollback_limit", format_duration(settings.rollback_limit)},
             {"memory_limit_mb", settings.memory_limit_mb},
+            {"descriptor_limit", settings.descriptor_limit},
             {"log_level", level_names[static_cast<int>(settings.log_level)]},
             {"log_lines_per_second", settings.log_lines_per_second}};
 }
