--- a/apps/explain/explanation.cpp
+++ b/apps/explain/explanation.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace vanillapost::explain {
 
@@ -54,6 +55,26 @@
     return text;
 }
 
+// Why attempts left the data centre, if any did; the router writes it into the
+// outcome.
+std::string explain_leaving(const std::vector<told_attempt>& attempts)
+{
+    constexpr std::pair<std::string_view, std::string_view> causes[] = {
+        {"left the data centre: short here",
+         "too few targets were free in the data centre"},
+        {"left the data centre: slow here",
+         "the targets in the data centre were clearly slower"},
+        {"left the data centre: none here",
+         "no target in the data centre could be used"}};
+    std::string text;
+    for (const auto& each : attempts)
+        for (const auto& [told, meaning] : causes)
+            if (each.outcome.find(told) != std::string::npos)
+                text += " It left for target " + each.target + ": " +
+                        std::string(meaning) + ".";
+    return text;
+}
+
 std::string explain_refusal(const log_line& line)
 {
     const auto reason = line.field("reason");
@@ -135,6 +156,23 @@
     return text + ".";
 }
 
+std::string explain_end(const log_line& line,
+                        const std::vector<told_attempt>& attempts)
+{
+    const auto result =
+        line.event == refused_event ? "refused" : line.field("result");
+    if (result == "refused")
+        return explain_refusal(line);
+    if (result == "failed")
+        return explain_failure(line, attempts);
+    if (result == "slow")
+        return explain_delay(attempts, line.field("taken_ms"));
+    if (result == "gone")
+        return "Its caller closed the connection after " +
+               line.field("taken_ms") + " ms.";
+    return "It was answered in time.";
+}
+
 } // namespace
 
 std::vector<told_attempt> parse_attempts(std::string_view text)
@@ -160,19 +198,8 @@
 
 std::string explain_request(const log_line& line)
 {
-    const auto result =
-        line.event == refused_event ? "refused" : line.field("result");
     const auto attempts = parse_attempts(line.field("attempts"));
-    if (result == "refused")
-        return explain_refusal(line);
-    if (result == "failed")
-        return explain_failure(line, attempts);
-    if (result == "slow")
-        return explain_delay(attempts, line.field("taken_ms"));
-    if (result == "gone")
-        return "Its caller closed the connection after " +
-               line.field("taken_ms") + " ms.";
-    return "It was answered in time.";
+    return explain_end(line, attempts) + explain_leaving(attempts);
 }
 
 request_path find_request(std::span<const log_line> lines,
--- a/apps/router/requests/request_attempts.cpp
+++ b/apps/router/requests/request_attempts.cpp
@@ -112,7 +112,7 @@
 {
     if (!ended.left_because)
         return;
-    const auto bytes = request_.body.size() + ended.body.size();
+    const auto bytes = request_.body.size() + ended.received;
     context_.metrics.count_left(service_, to_string(*ended.left_because),
                                 bytes);
 }
@@ -164,6 +164,7 @@
 
 void request_task::process_data(attempt& from, std::string_view data)
 {
+    from.received += data.size();
     if (from.streaming) {
         exchange_->write(data);
         if (exchange_->pending_bytes() > max_pending_stream_bytes) {
--- a/apps/router/requests/request_task.hpp
+++ b/apps/router/requests/request_task.hpp
@@ -81,6 +81,7 @@
         attempt_progress progress{duration(1), 1, time_point{}};
         io::target_answer_head head;
         std::string body;
+        std::size_t received = 0; ///< bytes of the body, streamed ones too
         bool streaming = false;
         bool is_relay = false; ///< to a peer, which sends it to a target
     };
--- a/test/explain.cpp
+++ b/test/explain.cpp
@@ -43,6 +43,18 @@
     EXPECT_EQ(attempts[1].outcome, "answered: 200");
 }
 
+TEST(Explain, ARequestThatLeftItsDataCentreIsToldWithTheCause)
+{
+    const auto contents = read(
+        line("t", "r", "request_ended",
+             ended("x", "good", "answered",
+                   "i-7 95ms answered: 200, left the data centre: short here "
+                   "[expected 120ms]")));
+    EXPECT_EQ(explain_request(contents.lines.at(0)),
+              "It was answered in time. It left for target i-7: too few "
+              "targets were free in the data centre.");
+}
+
 // Lines are copied, and a copy of this one overflowed the stack.
 TEST(Explain, ALineThatIsNestedDeepIsLeftOut)
 {
