Answer reports of quotas to where they came from

An instance that shuts down is no live member any more, so owners had no address for its grants, and its last requests waited and were refused. Members that asked lately are bounded in number as well.

Measured: test_quotas 62 tests passed, test_quotas.py 2 passed; no test shows the shutdown itself.

--- a/apps/router/peers/peer_controller.cpp
+++ b/apps/router/peers/peer_controller.cpp
@@ -347,7 +347,9 @@
     if (rate_limit_relay::has_rate_limits(message))
         return;
     if (quota_relay::is_message(message)) {
-        quotas_.handle(message);
+        quotas_.handle(message, [&](const json& reply) {
+            answer("quota", from, write_message(reply));
+        });
         return;
     }
     if (crash_relay::is_message(message)) {
--- a/apps/router/peers/quota_relay.cpp
+++ b/apps/router/peers/quota_relay.cpp
@@ -21,15 +21,15 @@
     return message.contains(report_field) || message.contains(reply_field);
 }
 
-void quota_relay::handle(const json& message)
+void quota_relay::handle(const json& message, const reply_handler& reply)
 {
     if (message.contains(reply_field)) {
         handlers_.on_reply(parse_quota_reply(message.at(reply_field)));
         return;
     }
     const auto report = parse_quota_report(message.at(report_field));
-    if (const auto reply = handlers_.on_report(report))
-        send_(report.from, {{reply_field, to_json(*reply)}});
+    if (const auto grants = handlers_.on_report(report))
+        reply({{reply_field, to_json(*grants)}});
 }
 
 } // namespace vanillapost::router
--- a/apps/router/peers/quota_relay.hpp
+++ b/apps/router/peers/quota_relay.hpp
@@ -26,6 +26,8 @@
     using send_handler =
         std::function<void(const entry_id& to, const nlohmann::json& message)>;
 
+    using reply_handler = std::function<void(const nlohmann::json& message)>;
+
     /// \param send  sends a message to one member
     explicit quota_relay(send_handler send) : send_(std::move(send))
     {
@@ -41,8 +43,10 @@
     /// Whether the message is one of this class.
     static bool is_message(const nlohmann::json& message);
 
+    /// \param reply  sends a message to where this one came from: a member that
+    ///               shuts down is asked nothing but still has requests
     /// \throws error  if it is not well-formed
-    void handle(const nlohmann::json& message);
+    void handle(const nlohmann::json& message, const reply_handler& reply);
 
 private:
     send_handler send_;
--- a/src/quotas/quota_limiter.cpp
+++ b/src/quotas/quota_limiter.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t max_demands = 60; ///< of one report
 constexpr std::size_t max_sent_reports = 2'000;
+/// More than the members of any cluster.
+constexpr std::size_t max_senders = 10'000;
 constexpr duration reply_memory = 2s;
 constexpr duration sender_memory = 3s;
 
@@ -213,6 +215,8 @@
 bool quota_limiter::is_newest(const quota_report& report, time_point now)
 {
     remove_silent_senders(now);
+    if (senders_.size() >= max_senders && !senders_.contains(report.from))
+        return false;
     auto& sender = senders_[report.from];
     if (report.number <= sender.number)
         return false;
