Bound what clients hold, at all addresses together

Only bodies over 64 KiB were bounded together. Smaller bodies, heads as parsed, requests sent ahead and unread answers were not; evhttp's servers counted a connection with its first request only; connections that stop half-way could take all descriptors.

One ledger of bytes and connections over the callers' server and the evhttp servers: an eighth of memory_limit_mb (at least 2 MiB), and two thirds of the descriptors beyond 32 (the new setting descriptor_limit, by default what the environment allows). connection_pressure decides, apart from I/O, who is closed: those that hold most for the longest time, those that wait for the system last; for a place a slow request, then an idle connection. Before that, requests sent ahead stay unread while 256 KiB of answers are unread on their connection, or while half of the bound is held; the input of a connection stops at 64 KiB. A request at an evhttp server may take 60 s to arrive and its answer 5 min to be read.

Streams of evhttp now own their descriptor: they outlast evhttp's part of the connection by up to 100 ms, and a new connection must not get the same descriptor meanwhile (seen in http_limits as epoll errors and a hang).

Metrics vanillapost_client_bytes, _client_connections and _client_closings_total{cause}; the log line clients_closed, at most every 10 s.

--- a/apps/router/directory/directory.cpp
+++ b/apps/router/directory/directory.cpp
@@ -41,10 +41,11 @@
                      const state_controller& state,
                      const platform_adapter& adapter,
                      const prometheus::Registry& metrics, crash_guard& crashes,
-                     duration answer_lifetime, random_engine random)
+                     duration answer_lifetime, io::client_ledger& clients,
+                     random_engine random)
     : loop_(loop), cluster_(cluster), state_(state), adapter_(adapter),
       metrics_(metrics), crashes_(crashes), answer_lifetime_(answer_lifetime),
-      random_(random)
+      clients_(clients), random_(random)
 {
 }
 
@@ -59,7 +60,8 @@
             loop_, io::http_server_limits{},
             [this](std::unique_ptr<io::server_exchange> exchange) {
                 handle(std::move(exchange));
-            }));
+            },
+            &clients_));
         servers_.back()->listen(each);
     }
 }
--- a/apps/router/directory/directory.hpp
+++ b/apps/router/directory/directory.hpp
@@ -30,7 +30,8 @@
     directory(io::event_loop& loop, cluster_view& cluster,
               const state_controller& state, const platform_adapter& adapter,
               const prometheus::Registry& metrics, crash_guard& crashes,
-              duration answer_lifetime, random_engine random);
+              duration answer_lifetime, io::client_ledger& clients,
+              random_engine random);
 
     /// Serves all paths at each of these addresses. An address that is listed
     /// twice is bound once; one without an IP number is skipped.
@@ -71,6 +72,7 @@
     const prometheus::Registry& metrics_;
     crash_guard& crashes_;
     duration answer_lifetime_;
+    io::client_ledger& clients_;
     random_engine random_;
     std::vector<time_point> large_states_sent_; ///< times of recent ones
     bool ready_ = false;
--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -158,6 +158,11 @@
         ->envname("VANILLAPOST_MEMORY_LIMIT_MB")
         ->check(CLI::Range(router::min_memory_limit_mb,
                            router::max_memory_limit_mb));
+    app.add_option("--descriptor-limit", defaults.descriptor_limit,
+                   "descriptors of this process, if the settings do not name "
+                   "them; 0 for those that its environment allows")
+        ->envname("VANILLAPOST_DESCRIPTOR_LIMIT")
+        ->check(CLI::Range(std::int64_t{0}, router::max_descriptor_limit));
     app.add_flag("--check", check, "check the settings and end");
     CLI11_PARSE(app, argc, argv);
     try {
--- a/apps/router/reporting/router_metrics.cpp
+++ b/apps/router/reporting/router_metrics.cpp
@@ -123,6 +123,17 @@
                             "Requests without their whole answer")),
       body_bytes_(make_gauge(registry_, "vanillapost_body_bytes",
                              "Room that large bodies of requests take")),
+      client_bytes_(make_gauge(registry_, "vanillapost_client_bytes",
+                               "Bytes that connections of clients hold, "
+                               "without the room of large bodies")),
+      client_connections_(make_gauge(registry_,
+                                     "vanillapost_client_connections",
+                                     "Connections of clients, of all servers")),
+      client_closings_(make_counters(
+          registry_, "vanillapost_client_closings_total",
+          "Connections that were closed, or not taken, for others")),
+      closed_for_bytes_(client_closings_.Add({{"cause", "bytes"}})),
+      closed_for_place_(client_closings_.Add({{"cause", "descriptors"}})),
       version_(make_gauge(registry_, "vanillapost_configuration_version",
                           "Version of the configuration in force")),
       store_(make_gauge(registry_, "vanillapost_store_reachable",
@@ -279,6 +290,17 @@
     body_bytes_.Set(static_cast<double>(bytes));
 }
 
+void router_metrics::set_clients(const io::client_ledger& clients)
+{
+    client_bytes_.Set(static_cast<double>(clients.bytes()));
+    client_connections_.Set(static_cast<double>(clients.connections()));
+    const auto raise = [](prometheus::Counter& counter, std::uint64_t value) {
+        counter.Increment(static_cast<double>(value) - counter.Value());
+    };
+    raise(closed_for_bytes_, clients.closed_for_bytes());
+    raise(closed_for_place_, clients.closed_for_place());
+}
+
 void router_metrics::set_configuration_version(std::uint64_t version)
 {
     version_.Set(static_cast<double>(version));
--- a/apps/router/reporting/router_metrics.hpp
+++ b/apps/router/reporting/router_metrics.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_APPS_ROUTER_REPORTING_ROUTER_METRICS_HPP
 
 #include "vanillapost/base.hpp"
+#include "vanillapost/src/io/client_ledger.hpp"
 #include "vanillapost/src/io/target_pool.hpp"
 
 #include <map>
@@ -92,6 +93,7 @@
     void set_targets(std::size_t listed);
     /// \param bytes  reserved for large bodies of requests
     void set_body_bytes(std::size_t bytes);
+    void set_clients(const io::client_ledger& clients);
     void set_lost_log_lines(std::uint64_t lines);
 
     const prometheus::Registry& registry() const
@@ -132,6 +134,11 @@
     prometheus::Family<prometheus::Counter>& peer_bytes_;
     prometheus::Gauge& in_flight_;
     prometheus::Gauge& body_bytes_;
+    prometheus::Gauge& client_bytes_;
+    prometheus::Gauge& client_connections_;
+    prometheus::Family<prometheus::Counter>& client_closings_;
+    prometheus::Counter& closed_for_bytes_;
+    prometheus::Counter& closed_for_place_;
     prometheus::Gauge& version_;
     prometheus::Gauge& store_;
     prometheus::Gauge& members_;
--- a/apps/router/router_server.cpp
+++ b/apps/router/router_server.cpp
@@ -1,5 +1,7 @@
 #include "router_server.hpp"
 
+#include <sys/resource.h>
+
 namespace vanillapost::router {
 
 namespace {
@@ -7,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration check_interval = 100ms;
+/// A crowd that is kept out is told of as often.
+constexpr duration closings_interval = 10s;
 
 member describe_self(const router_settings& settings, std::uint64_t seed)
 {
@@ -38,6 +42,44 @@
     return result;
 }
 
+/// What clients hold beside large bodies is counted once, and held up to three
+/// times as these are. So it is at most three eighths of the memory.
+constexpr double client_memory_divisor = 8;
+/// A single request of the default limits fits in any case.
+constexpr double least_client_bytes = 2.0 * 1024 * 1024;
+/// Descriptors of files, of the loop and of what is always open.
+constexpr std::size_t own_descriptors = 32;
+/// Of the others a third stays free for targets, peers and the store.
+constexpr std::size_t client_descriptor_numerator = 2;
+constexpr std::size_t client_descriptor_divisor = 3;
+
+// The machine may allow fewer than the settings name.
+std::size_t descriptors_of(const router_settings& settings)
+{
+    rlimit allowed{};
+    const bool is_known = ::getrlimit(RLIMIT_NOFILE, &allowed) == 0 &&
+                          allowed.rlim_cur != RLIM_INFINITY;
+    const auto named = static_cast<std::size_t>(settings.descriptor_limit);
+    const auto most =
+        is_known ? static_cast<std::size_t>(allowed.rlim_cur) : named;
+    return named > 0 ? std::min(named, most) : most;
+}
+
+io::client_bounds client_bounds_of(const router_settings& settings)
+{
+    io::client_bounds result;
+    result.bytes = static_cast<std::size_t>(
+        std::max(settings.memory_limit_mb * megabyte / client_memory_divisor,
+                 least_client_bytes));
+    const auto all = descriptors_of(settings);
+    if (all > own_descriptors)
+        result.connections = (all - own_descriptors) *
+                             client_descriptor_numerator /
+                             client_descriptor_divisor;
+    result.connections = std::max<std::size_t>(result.connections, 1);
+    return result;
+}
+
 } // namespace
 
 router_server::router_server(io::event_loop& loop,
@@ -66,14 +108,17 @@
            }},
           random_engine(random_())),
       directory_(loop, cluster_, state_, adapter_, metrics_.registry(),
-                 engine_.crashes(), settings.answer_lifetime,
+                 engine_.crashes(), settings.answer_lifetime, clients_,
                  random_engine(random_())),
-      callers_(loop, server_limits({}, settings),
-               [this](std::unique_ptr<io::caller_exchange> exchange) {
-                   handle(std::move(exchange));
-               }),
+      callers_(
+          loop, server_limits({}, settings),
+          [this](std::unique_ptr<io::caller_exchange> exchange) {
+              handle(std::move(exchange));
+          },
+          &clients_),
       check_timer_(loop, [this] { check(); })
 {
+    clients_.set_bounds(client_bounds_of(settings));
     engine_.on_reach_changed([this](bool cut_off) {
         // Callers then ask for an address again, and get that of a peer.
         if (!shutdown_)
@@ -183,7 +228,9 @@
     settings_.log_lines_per_second = settings.log_lines_per_second;
     settings_.answer_lifetime = settings.answer_lifetime;
     settings_.memory_limit_mb = settings.memory_limit_mb;
+    settings_.descriptor_limit = settings.descriptor_limit;
     callers_.set_limits(server_limits(limits_, settings_));
+    clients_.set_bounds(client_bounds_of(settings_));
     io::set_log_level(settings.log_level);
     log_.set_limit(settings.log_lines_per_second);
     directory_.set_answer_lifetime(settings.answer_lifetime);
@@ -237,11 +284,30 @@
     metrics_.set_members(live);
     metrics_.set_targets(cluster_.targets.all().size());
     metrics_.set_body_bytes(callers_.body_bytes());
+    metrics_.set_clients(clients_);
+    report_closings(now);
     metrics_.set_lost_log_lines(io::lost_log_lines());
     metrics_.set_configuration_version(cluster_.routes().config().version);
     metrics_.set_store_reachable(state_.access() != store_access::lost);
 }
 
+void router_server::report_closings(time_point now)
+{
+    const auto closed =
+        clients_.closed_for_bytes() + clients_.closed_for_place();
+    const bool is_due = now - closings_reported_at_ >= closings_interval;
+    if (closed == closings_reported_ || !is_due)
+        return;
+    log_.state(
+        io::log_level::warning, "clients_closed",
+        {{"for_bytes", std::to_string(clients_.closed_for_bytes())},
+         {"for_descriptors", std::to_string(clients_.closed_for_place())},
+         {"bytes", std::to_string(clients_.bytes())},
+         {"connections", std::to_string(clients_.connections())}});
+    closings_reported_ = closed;
+    closings_reported_at_ = now;
+}
+
 void router_server::check_leaving(time_point now)
 {
     if (!accepting_stopped_ && now >= shutdown_->accepts_until()) {
--- a/apps/router/router_server.hpp
+++ b/apps/router/router_server.hpp
@@ -43,6 +43,7 @@
     void check();
     void check_leaving(time_point now);
     void update_metrics(time_point now);
+    void report_closings(time_point now);
 
     io::event_loop& loop_;
     const platform_adapter& adapter_;
@@ -55,6 +56,7 @@
     peer_controller peers_;
     request_engine engine_;
     std::unique_ptr<idempotency_claims> claims_;
+    io::client_ledger clients_;
     directory directory_;
     io::caller_server callers_;
     io::timer check_timer_;
@@ -62,6 +64,8 @@
     bool accepting_stopped_ = false; ///< no connections are accepted any more
     std::optional<shutdown_plan> shutdown_; ///< set once it is to stop
     caller_limits limits_;
+    std::uint64_t closings_reported_ = 0;
+    time_point closings_reported_at_{};
 };
 
 } // namespace vanillapost::router
--- a/apps/router/router_settings.cpp
+++ b/apps/router/router_settings.cpp
@@ -141,6 +141,8 @@
     result.memory_limit_mb =
         reader.number("memory_limit_mb", min_memory_limit_mb,
                       max_memory_limit_mb, result.memory_limit_mb);
+    result.descriptor_limit = reader.integer(
+        "descriptor_limit", 0, max_descriptor_limit, result.descriptor_limit);
     result.log_level = static_cast<io::log_level>(reader.choice(
         "log_level",
         {level_names[0], level_names[1], level_names[2], level_names[3]}, 1));
@@ -170,6 +172,7 @@
             {"repeat_allowance", settings.repeats.allowance},
             {"repeat_window", format_duration(settings.repeats.window)},
             {"memory_limit_mb", settings.memory_limit_mb},
+            {"descriptor_limit", settings.descriptor_limit},
             {"log_level", level_names[static_cast<int>(settings.log_level)]},
             {"log_lines_per_second", settings.log_lines_per_second}};
 }
--- a/apps/router/router_settings.hpp
+++ b/apps/router/router_settings.hpp
@@ -42,6 +42,8 @@
     /// Of this process, in 10^6 bytes; by default enough for one body of the
     /// default limit beside everything else.
     double memory_limit_mb = 400;
+    /// Of this process; 0 for those that its environment allows.
+    std::int64_t descriptor_limit = 0;
     io::log_level log_level = io::log_level::info;
     int log_lines_per_second = 60;
 };
@@ -49,6 +51,8 @@
 /// Bounds of `router_settings::memory_limit_mb`.
 inline constexpr double min_memory_limit_mb = 1;
 inline constexpr double max_memory_limit_mb = 1e6;
+/// Bound of `router_settings::descriptor_limit`.
+inline constexpr std::int64_t max_descriptor_limit = 10'000'000;
 
 /// \param file      named in errors
 /// \param defaults  for optional fields that are missing
--- a/include/vanillapost/io.hpp
+++ b/include/vanillapost/io.hpp
@@ -5,6 +5,7 @@
 /// of the platform. Not part of the library that others embed.
 
 #include "src/io/address.hpp"
+#include "src/io/client_ledger.hpp"
 #include "src/io/event_loop.hpp"
 #include "src/io/http_client.hpp"
 #include "src/io/http_message.hpp"
--- a/include/vanillapost/src/io/caller_server.hpp
+++ b/include/vanillapost/src/io/caller_server.hpp
@@ -3,6 +3,7 @@
 
 #include "../base/time.hpp"
 #include "address.hpp"
+#include "client_ledger.hpp"
 #include "event_loop.hpp"
 #include "http_message.hpp"
 
@@ -106,8 +107,9 @@
     using handler = std::function<void(std::unique_ptr<caller_exchange>)>;
     struct state;
 
-    caller_server(event_loop& loop, caller_server_limits limits,
-                  handler handle);
+    /// \param ledger  of all servers of the process; its own one if null
+    caller_server(event_loop& loop, caller_server_limits limits, handler handle,
+                  client_ledger* ledger = nullptr);
     ~caller_server();
 
     /// Listens; port 0 takes a free one. Returns the bound address.
--- a/include/vanillapost/src/io/detail/caller_connection.hpp
+++ b/include/vanillapost/src/io/detail/caller_connection.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_SRC_IO_DETAIL_CALLER_CONNECTION_HPP
 
 #include "../caller_server.hpp"
+#include "../client_ledger.hpp"
 #include "body_budget.hpp"
 #include "connection_end.hpp"
 #include "http1_reader.hpp"
@@ -37,6 +38,7 @@
     bool broken = false; ///< the connection ends at its turn
     std::string held;    ///< answer bytes behind those of earlier requests
     std::optional<body_budget::lease> room; ///< of a large body
+    std::size_t request_bytes = 0; ///< without what has room as a large body
 
     static void notify_gone(caller_exchange& owner);
 };
@@ -50,6 +52,7 @@
     server_phase phase = server_phase::serving;
     std::size_t in_flight = 0;
     body_budget bodies{0};
+    client_ledger* ledger = nullptr; ///< of all servers of the process
     std::function<void(caller_connection&)> ended;
 };
 
@@ -57,7 +60,7 @@
 ///
 /// libevent may be on the stack when it ends, so it is destroyed through
 /// `event_loop::dispose`.
-class caller_connection : public disposable
+class caller_connection : public disposable, public ledger_member
 {
 public:
     caller_connection(connection_host& host, evutil_socket_t socket);
@@ -74,6 +77,12 @@
     /// Ends the connection at once.
     void break_off();
 
+    client_hold hold() const override;
+
+    /// As `break_off`, and frees what it holds. Not to be called while it is on
+    /// the stack.
+    void close_for_room() override;
+
     std::size_t pending_bytes(const caller_slot& slot) const;
 
     /// Closes it if no request is being read or answered.
@@ -105,6 +114,12 @@
     void take_request();
     void refuse(int status, std::string_view reason, header_list headers = {});
     bool has_room_for_body();
+    bool may_read_on();
+    bool has_room_to_read();
+    std::size_t unread_bytes() const;
+    std::size_t held_bytes() const;
+    void note_held();
+    void go_on();
     void wait_for_room(std::size_t bytes);
     void check_waiting(time_point now);
     void stop_waiting();
@@ -148,6 +163,8 @@
     time_point message_since_{};  ///< its first byte
     time_point heard_{};          ///< last bytes of a request
     time_point written_{};        ///< last progress of the output
+    time_point unread_since_{};   ///< the output was empty before
+    bool had_request_ = false;
     time_point idle_since_{};
     duration idle_limit_{};      ///< in force when it became idle
     time_point closing_since_{}; ///< or since bytes were delivered
--- a/include/vanillapost/src/io/detail/http1_reader.hpp
+++ b/include/vanillapost/src/io/detail/http1_reader.hpp
@@ -93,6 +93,17 @@
         return in_message_;
     }
 
+    /// Bytes that the head takes that is being read, in parsed form. Zero once
+    /// it was handed over.
+    std::size_t held_bytes() const;
+
+    /// Frees the head that is being read; nothing can be read afterwards.
+    void forget()
+    {
+        head_ = {};
+        header_bytes_ = 0;
+    }
+
 private:
     static http1_reader& self(http_parser* parser);
     static int on_begin(http_parser* parser);
--- a/include/vanillapost/src/io/detail/server_state.hpp
+++ b/include/vanillapost/src/io/detail/server_state.hpp
@@ -2,6 +2,7 @@
 #define VANILLAPOST_SRC_IO_DETAIL_SERVER_STATE_HPP
 
 #include "../http_server.hpp"
+#include "held_stream.hpp"
 
 #include <cstdint>
 #include <event2/bufferevent.h>
@@ -72,8 +73,17 @@
         connections = {};
     std::size_t in_flight = 0;
     bool stopping = false;
+    client_ledger own_ledger = {}; ///< where none is shared
+    detail::stream_host stream_host = {};
+    std::unordered_map<bufferevent*, std::unique_ptr<detail::held_stream>>
+        streams = {};
+    std::unique_ptr<timer> sweep = {};
 
     void configure();
+    void take_stream(bufferevent* stream);
+    detail::held_stream* stream_of(evhttp_connection* handle);
+    void check_streams();
+    void check_time(detail::held_stream& stream, time_point now);
     void accept_request(evhttp_request* request);
     bool refuse_excess(evhttp_request* request);
     detail::server_connection& connection_of(evhttp_request* request);
--- a/src/io/caller_connection.cpp
+++ b/src/io/caller_connection.cpp
@@ -34,12 +34,34 @@
 constexpr int status_unavailable = 503;
 /// Bodies up to this size need no room of the \ref body_budget.
 constexpr std::size_t small_body_bytes = std::size_t{64} * 1024;
+/// Bytes of requests that wait before they are parsed.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
+/// Bytes of answers that a client has yet to take, above which its further
+/// requests wait. A streamed answer pauses at as many.
+constexpr std::size_t max_unread_bytes = std::size_t{256} * 1024;
 
 caller_connection& connection_of(void* self)
 {
     return *static_cast<caller_connection*>(self);
 }
 
+// Texts that are stored within their object count with it.
+std::size_t text_bytes(const std::string& text)
+{
+    static const std::size_t inside = std::string().capacity();
+    return text.capacity() <= inside ? 0 : text.capacity();
+}
+
+// Of a request without its body.
+std::size_t request_bytes(const http_request& request)
+{
+    std::size_t bytes = request.headers.capacity() * sizeof(header_field) +
+                        text_bytes(request.target);
+    for (const auto& field : request.headers)
+        bytes += text_bytes(field.name) + text_bytes(field.value);
+    return bytes;
+}
+
 } // namespace
 
 std::string format_answer_head(int status, const header_list& headers,
@@ -79,10 +101,15 @@
                       this);
     evbuffer_add_cb(bufferevent_get_output(stream_.get()), &on_output, this);
     reader_.set_max_header_bytes(host.limits.max_header_bytes);
+    bufferevent_setwatermark(stream_.get(), EV_READ, 0, max_unparsed_bytes);
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+    host_.ledger->add(*this);
 }
 
-caller_connection::~caller_connection() = default;
+caller_connection::~caller_connection()
+{
+    host_.ledger->remove(*this);
+}
 
 // A connection whose callback fails is broken off.
 template <class Callback>
@@ -101,17 +128,32 @@
 void caller_connection::on_written(bufferevent*, void* self)
 {
     auto& connection = connection_of(self);
-    if (!connection.slots_.empty())
+    if (!connection.slots_.empty()) {
+        connection.guard("go on", [&] { connection.go_on(); });
         return;
+    }
     connection.note_idle();
     connection.guard("close connection", [&] {
         if (!connection.end_.takes_requests())
             connection.close_gracefully();
         else
             connection.close_between_requests();
+        connection.go_on();
     });
 }
 
+// Requests wait while answers to earlier ones are not read.
+void caller_connection::go_on()
+{
+    if (end_.has_ended() || !end_.takes_requests())
+        return;
+    hand_over_requests();
+    if (end_.has_ended())
+        return;
+    if (evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0)
+        bufferevent_trigger(stream_.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
 void caller_connection::on_event(bufferevent*, short what, void* self)
 {
     auto& connection = connection_of(self);
@@ -130,10 +172,12 @@
             evbuffer_drain(input, evbuffer_get_length(input));
             break;
         }
-        if (slots_.size() >= host_.limits.max_pipelined)
+        if (!may_read_on())
             break;
         if (reader_.in_message() && headers_read_ && !has_room_for_body())
             break;
+        if (!has_room_to_read())
+            break;
         if (!reader_.in_message()) {
             reader_.set_max_header_bytes(host_.limits.max_header_bytes);
             message_since_ = host_.loop->now();
@@ -155,6 +199,33 @@
             refuse(status_headers_too_large, "the headers are too large");
     }
     reading_ = false;
+    note_held();
+}
+
+// Requests that are sent ahead stay unread while there is little room, or while
+// answers to earlier ones are unread.
+bool caller_connection::may_read_on()
+{
+    const bool is_ahead = !slots_.empty() && !reader_.in_message();
+    if (is_ahead && host_.ledger->is_tight())
+        return false;
+    return slots_.size() < host_.limits.max_pipelined &&
+           unread_bytes() <= max_unread_bytes;
+}
+
+// Without room not even what others hold could be freed.
+bool caller_connection::has_room_to_read()
+{
+    note_held();
+    if (host_.ledger->make_room(*this, host_.loop->now()))
+        return !end_.has_ended();
+    if (end_.has_ended())
+        return false;
+    stop_waiting();
+    incoming_.reset();
+    refuse(status_unavailable, "no room for so many requests",
+           {{"Retry-After", "1"}});
+    return false;
 }
 
 void caller_connection::take_head(message_head&& head)
@@ -168,11 +239,13 @@
     incoming_->request.method = std::move(head.method);
     incoming_->request.target = std::move(head.target);
     incoming_->request.headers = std::move(head.headers);
+    had_request_ = true;
     const auto length =
         find_header(incoming_->request.headers, "Content-Length");
     body_length_ = length ? parse_number<std::uint64_t>(*length) : std::nullopt;
     wants_go_on_ =
         find_header(incoming_->request.headers, "Expect").has_value();
+    incoming_->request_bytes = request_bytes(incoming_->request);
     tell_to_go_on();
 }
 
@@ -261,6 +334,8 @@
     if (body_too_large_)
         return;
     wants_go_on_ = false;
+    if (!incoming_->room)
+        incoming_->request_bytes += text_bytes(incoming_->request.body);
     slots_.push_back(std::move(incoming_));
     auto& slot = *slots_.back();
     if (!slot.keep_alive)
@@ -275,9 +350,14 @@
 // The first one that is not handed over yet, unless one before it holds it.
 caller_slot* caller_connection::next_to_hand_over()
 {
+    if (unread_bytes() > max_unread_bytes)
+        return nullptr;
+    const bool is_tight = host_.ledger->is_tight();
+    bool is_working = false;
     for (const auto& each : slots_) {
         if (!each->is_handed_over)
-            return each.get();
+            return is_tight && is_working ? nullptr : each.get();
+        is_working = is_working || !each->finished;
         if (each->holds_followers && !each->finished)
             return nullptr;
     }
@@ -352,6 +432,7 @@
 {
     if (slots_.front().get() != &slot || !slot.held.empty()) {
         slot.held.append(bytes);
+        note_held();
         return;
     }
     bufferevent_write(stream_.get(), bytes.data(), bytes.size());
@@ -392,6 +473,7 @@
         }
     }
     note_idle();
+    note_held();
     if (!end_.takes_requests()) {
         close_gracefully();
         return;
@@ -481,11 +563,67 @@
     if (ends_an_answer_ && !is_whole)
         reset_instead_of_closing();
     stop_waiting();
+    host_.ledger->remove(*this);
     bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
     drop_slots();
     host_.ended(*this);
 }
 
+// Not when the loop disposes of it: others are read before.
+void caller_connection::close_for_room()
+{
+    end();
+    incoming_.reset();
+    reader_.forget();
+    stream_.reset();
+}
+
+client_hold caller_connection::hold() const
+{
+    client_hold result{held_bytes(), client_state::idle, idle_since_};
+    if (end_.is_shut_down())
+        result.since = closing_since_;
+    else if (pending_output() > 0)
+        result = {result.bytes, client_state::unread, unread_since_};
+    else if (!slots_.empty())
+        result = {result.bytes, client_state::working,
+                  slots_.front()->taken_at};
+    else if (reader_.in_message())
+        result = {result.bytes, client_state::reading, message_since_};
+    else if (!had_request_)
+        result.state = client_state::reading;
+    return result;
+}
+
+// Of answers.
+std::size_t caller_connection::unread_bytes() const
+{
+    std::size_t bytes = pending_output();
+    for (const auto& slot : slots_)
+        bytes += slot->held.size();
+    return bytes;
+}
+
+std::size_t caller_connection::held_bytes() const
+{
+    std::size_t bytes =
+        reader_.held_bytes() + unread_bytes() +
+        evbuffer_get_length(bufferevent_get_input(stream_.get()));
+    for (const auto& slot : slots_)
+        bytes += slot->request_bytes;
+    if (!incoming_)
+        return bytes;
+    const bool has_room = incoming_->room.has_value();
+    return bytes + incoming_->request_bytes +
+           (has_room ? 0 : text_bytes(incoming_->request.body));
+}
+
+void caller_connection::note_held()
+{
+    if (!end_.has_ended())
+        host_.ledger->note(*this, held_bytes());
+}
+
 // Requests that get no answer here: the connection ends before their turn.
 void caller_connection::drop_slots(std::size_t kept)
 {
@@ -627,6 +765,9 @@
     const bool begins = info->orig_size == 0 && info->n_added > 0;
     if (begins || info->n_deleted > 0)
         connection.written_ = connection.host_.loop->now();
+    if (begins)
+        connection.unread_since_ = connection.written_;
+    connection.note_held();
 }
 
 } // namespace vanillapost::io::detail
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -20,6 +20,9 @@
 /// Connections that cannot be accepted stay ready: without descriptors the
 /// loop would do nothing else.
 constexpr duration accept_pause = 100ms;
+/// Answers come while something of the server is on the stack; what they add is
+/// looked at as often.
+constexpr duration room_interval = 20ms;
 constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -187,23 +190,29 @@
 
 struct caller_server::state
 {
+    client_ledger own_ledger; ///< where none is shared
     detail::connection_host host;
     std::vector<std::unique_ptr<detail::caller_connection>> connections;
     std::unique_ptr<evconnlistener, decltype(&evconnlistener_free)> listener{
         nullptr, &evconnlistener_free};
     timer sweep;
     timer accept_again;
+    timer room;
 
-    state(event_loop& loop, caller_server_limits limits, handler handle)
+    state(event_loop& loop, caller_server_limits limits, handler handle,
+          client_ledger* ledger)
         : sweep(loop, [this] { check_time(); }),
-          accept_again(loop, [this] { resume_accepting(); })
+          accept_again(loop, [this] { resume_accepting(); }),
+          room(loop, [this] { host.ledger->make_room(host.loop->now()); })
     {
         host.loop = &loop;
+        host.ledger = ledger ? ledger : &own_ledger;
         host.limits = limits;
         host.bodies.set_bytes(limits.max_total_body_bytes);
         host.handle = std::move(handle);
         host.ended = [this](detail::caller_connection& each) { drop(each); };
         sweep.start_every(sweep_interval);
+        room.start_every(room_interval);
     }
 
     static void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*,
@@ -231,7 +240,10 @@
 
     void accept(evutil_socket_t socket)
     {
-        if (connections.size() >= host.limits.max_connections) {
+        const bool has_place =
+            connections.size() < host.limits.max_connections &&
+            host.ledger->make_place(host.loop->now());
+        if (!has_place) {
             evutil_closesocket(socket);
             return;
         }
@@ -261,8 +273,8 @@
 };
 
 caller_server::caller_server(event_loop& loop, caller_server_limits limits,
-                             handler handle)
-    : state_(std::make_unique<state>(loop, limits, std::move(handle)))
+                             handler handle, client_ledger* ledger)
+    : state_(std::make_unique<state>(loop, limits, std::move(handle), ledger))
 {
 }
 
--- a/src/io/http1_reader.cpp
+++ b/src/io/http1_reader.cpp
@@ -57,6 +57,14 @@
 
 } // namespace
 
+// An estimate that takes no time: texts grow to twice what they hold.
+std::size_t http1_reader::held_bytes() const
+{
+    constexpr std::size_t growth = 2;
+    return head_.headers.capacity() * sizeof(header_field) +
+           growth * header_bytes_;
+}
+
 http1_reader::http1_reader(message_side side, message_handlers handlers)
     : handlers_(std::move(handlers))
 {
@@ -258,6 +266,7 @@
         parser->type == HTTP_RESPONSE && head.status < first_final_status;
     const bool no_body =
         is_bodyless_answer(*parser) || (reader.no_body_ && !interim);
+    reader.header_bytes_ = 0;
     reader.handlers_.on_head(std::move(head));
     return no_body ? skip_body : 0;
 }
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -22,6 +22,12 @@
 // A colon, a space and the end of the line.
 constexpr std::size_t header_field_overhead = 4;
 constexpr int listen_backlog = 1024;
+constexpr duration sweep_interval = std::chrono::milliseconds(100);
+/// A request that takes longer to arrive has no client who waits for it.
+constexpr duration longest_reading = std::chrono::seconds(60);
+/// An answer of which a part is unread all that time has no client who needs
+/// it.
+constexpr duration longest_unread = std::chrono::minutes(5);
 // Room beyond a whole request, for what follows on the same connection.
 constexpr std::size_t pipelining_slack_bytes = 16 * 1024;
 
@@ -77,13 +83,19 @@
 
 bufferevent* make_stream(event_base* base, void* self)
 {
-    auto& limits = static_cast<http_server::state*>(self)->limits;
-    bufferevent* stream = bufferevent_socket_new(base, -1, 0);
+    auto& server = *static_cast<http_server::state*>(self);
+    auto& limits = server.limits;
+    // Its descriptor must not be used for another connection while the stream
+    // is still there.
+    bufferevent* stream =
+        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setwatermark(stream, EV_READ, 0,
                              limits.max_body_bytes +
                                  header_slack * limits.max_header_bytes +
                                  pipelining_slack_bytes);
     detail::watch_error_pages(stream);
+    server.loop.guard("accept connection", "",
+                      [&] { server.take_stream(stream); });
     return stream;
 }
 
@@ -114,6 +126,12 @@
 
 void http_server::state::configure()
 {
+    if (!stream_host.ledger)
+        stream_host.ledger = &own_ledger;
+    stream_host.max_head_bytes = header_slack * limits.max_header_bytes;
+    stream_host.now = [this] { return loop.now(); };
+    sweep = std::make_unique<timer>(loop, [this] { check_streams(); });
+    sweep->start_every(sweep_interval);
     http.reset(evhttp_new(loop.base()));
     if (!http)
         throw error("start HTTP server", "", "evhttp gave no server");
@@ -130,6 +148,45 @@
     evhttp_set_bevcb(http.get(), &make_stream, this);
 }
 
+void http_server::state::take_stream(bufferevent* stream)
+{
+    // If there is none, one is closed later: evhttp knows it only then.
+    stream_host.ledger->make_place(loop.now());
+    streams[stream] =
+        std::make_unique<detail::held_stream>(stream_host, stream);
+}
+
+detail::held_stream* http_server::state::stream_of(evhttp_connection* handle)
+{
+    const auto found = streams.find(evhttp_connection_get_bufferevent(handle));
+    return found == streams.end() ? nullptr : found->second.get();
+}
+
+void http_server::state::check_streams()
+{
+    std::erase_if(streams,
+                  [](const auto& each) { return each.second->is_closed(); });
+    const auto now = loop.now();
+    for (const auto& [_, stream] : streams)
+        check_time(*stream, now);
+    while (stream_host.ledger->is_over())
+        if (!stream_host.ledger->make_place(now))
+            break;
+}
+
+// A byte now and then keeps the time-outs of evhttp from ending it.
+void http_server::state::check_time(detail::held_stream& stream, time_point now)
+{
+    using detail::client_state;
+    const auto held = stream.hold();
+    const auto wait = now - held.since;
+    const bool is_slow =
+        (held.state == client_state::reading && wait > longest_reading) ||
+        (held.state == client_state::unread && wait > longest_unread);
+    if (is_slow)
+        stream.close_for_room();
+}
+
 detail::server_connection&
 http_server::state::connection_of(evhttp_request* request)
 {
@@ -150,6 +207,8 @@
     auto& connection = connection_of(request);
     connection.request = request;
     ++in_flight;
+    if (auto* held = stream_of(connection.handle))
+        held->begin_request();
     evhttp_request_set_on_complete_cb(request, &on_answer_complete,
                                       &connection);
     auto* stream = evhttp_connection_get_bufferevent(connection.handle);
@@ -187,6 +246,8 @@
 {
     connection.request = nullptr;
     --in_flight;
+    if (auto* held = stream_of(connection.handle))
+        held->end_request();
     auto* stream = evhttp_connection_get_bufferevent(connection.handle);
     set_read_timeout(stream, limits.idle_timeout, true);
     detail::watch_error_pages(stream);
@@ -207,15 +268,19 @@
         abort = std::move(connection.exchange->on_abort);
         connection.exchange->detach();
     }
+    // Its stream may be on the stack; it is erased at the next look.
+    if (auto* held = stream_of(connection.handle))
+        held->stop();
     connections.erase(connection.handle);
     if (abort)
         abort();
 }
 
 http_server::http_server(event_loop& loop, http_server_limits limits,
-                         handler handle)
+                         handler handle, client_ledger* ledger)
     : state_(new state{loop, limits, std::move(handle)})
 {
+    state_->stream_host.ledger = ledger;
     state_->configure();
 }
 
--- a/test/platform/test_rude_crowds.py
+++ b/test/platform/test_rude_crowds.py
@@ -23,6 +23,7 @@
 TRIES = 8  # of an ordinary request, each on a connection of its own
 TRY_S = 2.0
 REST_S = 0.5
+LOG_END = 1500  # characters to show of a process that has ended
 SMALL_BODY = 60_000  # bytes of a body below the limit, at the callers' address
 LARGE_BODY = 1_000_000  # and at the others
 PIECE = 1000
@@ -115,7 +116,7 @@
 
 
 def check_bounds(router, limit):
-    assert router.process.poll() is None
+    assert router.process.poll() is None, router.log.read_text()[-LOG_END:]
     assert open_descriptors(router) <= limit
     assert peak_bytes(router) <= MEMORY_MB * 1_000_000, peak_bytes(router)
 
