Count only a version's own targets as room in its data centre

Cause: in a roll-out a request may go to the targets of one version only, but those of the other counted as free when it was decided whether it may leave its data centre. Where the targets that it may use were full, it waited beside them.

Change: the estimate of the rooms takes the targets that the request's version constraint admits.

--- a/src/placement/target_placer.cpp
+++ b/src/placement/target_placer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <xxhash.h>
 
 namespace vanillapost {
@@ -299,8 +300,12 @@
         detail::drop_remote(order, settings_);
         return leaving_cause::short_here;
     }
-    const auto rooms = detail::estimate_rooms(services_.at(request.service),
-                                              order, options, settings_, now);
+    std::vector<detail::tracked_target*> admitted;
+    std::ranges::copy_if(
+        services_.at(request.service), std::back_inserter(admitted),
+        [&](const auto* each) { return is_admitted(*each, request); });
+    const auto rooms =
+        detail::estimate_rooms(admitted, order, options, settings_, now);
     const auto permit = exchange_.decide(
         {request.service, micros(request.expected_work),
          micros(options.time_budget), !options.probing_allowed},
--- a/test/placement.cpp
+++ b/test/placement.cpp
@@ -675,4 +675,31 @@
               std::vector<target_id>{{"new"}});
 }
 
+// In a roll-out the idle targets of the other version are no room for it.
+TEST(Placement, ARequestLeavesWhenTheTargetsHereOfItsVersionAreFull)
+{
+    placer_fixture fixture({}, {"far"});
+    for (int i = 0; i < 4; ++i) {
+        const auto number = std::to_string(i);
+        fixture.catalog.put(with_version(make_target("o" + number, "d1"), ""));
+        fixture.catalog.put(
+            with_version(make_target("n" + number, "d1"), "v2"));
+    }
+    fixture.placer.update(fixture.catalog, fixture.rates, start);
+    fixture.report("far", 0, 1);
+    for (int i = 0; i < 4; ++i) {
+        fixture.report("o" + std::to_string(i), 1, 1);
+        fixture.report("n" + std::to_string(i), 0, 1);
+    }
+    placement_request request;
+    request.service = service;
+    request.expected_work = 120ms;
+    request.version = version_constraint{"v2", true};
+    const auto decision = fixture.placer.choose(request, {false, 300ms}, start);
+    ASSERT_TRUE(std::holds_alternative<place_on>(decision));
+    EXPECT_EQ(std::get<place_on>(decision).target.value, "far");
+    EXPECT_EQ(std::get<place_on>(decision).left_because,
+              leaving_cause::short_here);
+}
+
 } // namespace
