Find the owner of a connection although another one closes, and add tests

Cause: the proxy of the tests looks up which router a connection belongs to, to cut that router off. When the router closed any descriptor during the look, the whole process was passed over, the connection counted as somebody else's and lived on, and the router was not cut off.

Change: a descriptor that is gone hides no others.

--- a/test/platform/proxy.py
+++ b/test/platform/proxy.py
@@ -40,13 +40,25 @@
     nothing for one that is gone."""
     wanted = f"socket:[{inode_of(near, far)}]"
     for process in watched:
+        if wanted in open_files(process):
+            return process
+    return None
+
+
+def open_files(process):
+    """What the descriptors of a process name; none of one that has ended. One
+    that is closed meanwhile must not hide the others."""
+    try:
+        links = list(os.scandir(f"/proc/{process}/fd"))
+    except OSError:
+        return set()
+    found = set()
+    for each in links:
         try:
-            links = os.scandir(f"/proc/{process}/fd")
-            if any(os.readlink(each.path) == wanted for each in links):
-                return process
+            found.add(os.readlink(each.path))
         except OSError:
-            continue  # it ended, or closed the socket meanwhile
-    return None
+            continue
+    return found
 
 
 watched = set()  # ids of processes that `cut` may name
--- a/test/platform/test_crashes.py
+++ b/test/platform/test_crashes.py
@@ -3,18 +3,22 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import time
+from datetime import datetime
 
 sys.path.insert(0, os.path.dirname(__file__))
 
 import wire  # noqa: E402
 from caller import DEADLINE  # noqa: E402
-from deadly import MOST_ENDED, Deadly  # noqa: E402
+from deadly import DOWN_S, MOST_ENDED, Deadly  # noqa: E402
 from fleet import LOOKUP, Fleet  # noqa: E402
 from target import ID  # noqa: E402
 
 GUILTY = LOOKUP.prefix + "guilty"
+NOTICED_S = 0.01  # on average; without a probe at once it takes up to 0.3 s
+CLOCK_S = 0.005  # between the clocks of the router and of the test
 
 
 def play_deadly(fleet):
@@ -22,13 +26,13 @@
     return fleet.truth.deadly
 
 
-async def ask_once(fleet, router, attempt_id):
+async def ask_once(fleet, router, attempt_id, path=GUILTY):
     asked = fleet.truth.ask(attempt_id, LOOKUP.service, True)
     asked.route, asked.router = LOOKUP.name, router.front
     ip, _, port = router.front.rpartition(":")
     reader, writer = await asyncio.open_connection(ip, int(port))
     writer.write(wire.format_message(
-        f"GET {GUILTY} HTTP/1.1",
+        f"GET {path} HTTP/1.1",
         [("Host", LOOKUP.host), (ID, attempt_id), (DEADLINE, 2000)],
         length=False))
     try:
@@ -150,9 +154,75 @@
     asyncio.run(scenario())
 
 
+def answer_health_late(target, tasks):
+    """So that a probe is in flight there most of the time."""
+    answer = target._answer_health
+
+    async def wait_and_answer(writer):
+        await asyncio.sleep(0.1)
+        if not writer.is_closing():
+            answer(writer)
+
+    def begin(writer):
+        tasks.add(asyncio.create_task(wait_and_answer(writer)))
+
+    target._answer_health = begin
+
+
+def time_to_suspect(router, path, target, ended):
+    """From the first line of its log that tells of the target's end to the one
+    that suspects the request. `ended` is in seconds since 1970."""
+    began = None
+    for line in router.log.read_text().splitlines():
+        told = json.loads(line)
+        at = datetime.fromisoformat(
+            told["time"].replace("Z", "+00:00")).timestamp()
+        if told.get("target") != target or at < ended - CLOCK_S:
+            continue
+        began = began or at
+        if told["message"] in ("request_suspected", "request_held_back") and \
+                told["request"].endswith(path):
+            return at - began
+    raise AssertionError(f"{path} was not suspected of the end of {target}")
+
+
 # Probes that were in flight broke with the target, and nobody asked it again
 # whether it had ended; the next request ended two more targets meanwhile.
 def test_an_end_is_noticed_at_once_beside_other_requests():
+    async def scenario():
+        async with Fleet(routers=1, targets_per_zone=2) as fleet:
+            await fleet.wait_ready()
+            router = fleet.routers[0]
+            # So that no line of the log is left out.
+            router.rewrite_settings(log_lines_per_second=10_000)
+            router.signal(signal.SIGHUP)
+            await asyncio.sleep(1)
+            tasks = set()
+            for target in fleet.targets_of(LOOKUP.service):
+                answer_health_late(target, tasks)
+            crashes = play_deadly(fleet)
+            load = asyncio.create_task(fleet.load(11, 4, routes=[LOOKUP]))
+            await asyncio.sleep(0.5)
+            ends = []
+            for number in range(4):
+                crashes.path = f"{GUILTY}-{number}"
+                crashes.ended.clear()
+                await ask_once(fleet, router, f"once-{number}",
+                               path=crashes.path)
+                ends += [(crashes.path, *end) for end in crashes.ended]
+                await asyncio.sleep(DOWN_S + 0.3)
+            await load
+            offset = time.time() - time.monotonic()
+            delays = [time_to_suspect(router, path, target, at + offset)
+                      for path, at, target in ends]
+            assert len(delays) >= 4, ends
+            assert sum(delays) / len(delays) < NOTICED_S, delays
+
+    asyncio.run(scenario())
+
+
+# Callers that ask at the same moment, before anything is known of it.
+def test_callers_at_once_end_few_targets():
     async def scenario():
         async with Fleet(targets_per_zone=4) as fleet:
             await fleet.wait_ready()
@@ -164,8 +234,7 @@
                 await asyncio.gather(*[
                     ask_once(fleet, router, f"at-once-{number}-{i}")
                     for i, router in enumerate(fleet.routers[:2])])
-            ended = len(crashes.ended)
-            assert 2 <= ended <= MOST_ENDED, crashes.ended
+            assert 2 <= len(crashes.ended) <= MOST_ENDED, crashes.ended
             await load
 
     asyncio.run(scenario())
--- a/test/platform/test_incidents.py
+++ b/test/platform/test_incidents.py
@@ -322,6 +322,32 @@
     asyncio.run(scenario())
 
 
+# Once its peer had failed, the router that relayed a request made attempts of
+# its own, beside those of the peer.
+def test_a_router_adds_no_attempt_to_those_of_its_peer():
+    async def scenario():
+        async with Fleet(routers=3, proxied=True, targets_per_zone=2) as fleet:
+            await fleet.wait_ready()
+            cut_off = fleet.routers[0]
+            caller = fleet.caller("early", only=cut_off)
+            with fleet.partitioned(cut_off, resets=True):
+                while "targets_unreachable" not in cut_off.log.read_text():
+                    await caller.request(LOOKUP)
+                for target in fleet.targets_of(LOOKUP.service):
+                    target.lose = 1.0
+                    target.work_s = 0.35
+                asked = asyncio.create_task(
+                    fleet.caller("relayed", only=cut_off).request(LOOKUP))
+                while not fleet.truth.runs["relayed-1"]:
+                    await asyncio.sleep(0.01)
+            # It reaches the targets again before the peer has failed.
+            assert (await asked).status == 502
+            await asyncio.sleep(0.5)
+            assert len(fleet.truth.runs["relayed-1"]) == LOOKUP.attempts
+
+    asyncio.run(scenario())
+
+
 async def ask_relayed(router, attempt_id, relayed_by):
     ip, _, port = router.front.rpartition(":")
     reader, writer = await asyncio.open_connection(ip, int(port))
