Let owners of quotas grant sooner after a start and a takeover

The bound left room for less.

Change: members that start together count as known after 0.5 s, and a new owner grants after 0.25 s.

--- a/apps/router/requests/quota_gate.cpp
+++ b/apps/router/requests/quota_gate.cpp
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 
 /// Members that start together know each other after this time.
-constexpr duration joining_time = 1s;
+constexpr duration joining_time = 500ms;
 constexpr duration timer_interval = 50ms;
 /// After the latest request of an organisation, for which tokens may still have
 /// to be returned.
--- a/include/vanillapost/src/quotas/quota_settings.hpp
+++ b/include/vanillapost/src/quotas/quota_settings.hpp
@@ -10,7 +10,7 @@
 {
     /// Before a new owner grants. The previous owner has heard of it by then,
     /// and its tokens have expired.
-    duration takeover_delay = std::chrono::milliseconds(500);
+    duration takeover_delay = std::chrono::milliseconds(250);
     /// An owner uses its own tokens for this time after a report that the other
     /// owner has answered.
     duration confirmation_time = std::chrono::seconds(1);
