Let the cost decide where a service has few targets in a data centre

Cause: with two or three targets of a service in a data centre the share that is free jumps with each request, and requests that stayed were late. Ruled out: a larger allowance, as the share itself says little there.

The cause in logs and metrics is "few here".

--- a/apps/explain/explanation.cpp
+++ b/apps/explain/explanation.cpp
@@ -64,6 +64,8 @@
          "too few targets were free in the data centre"},
         {"left the data centre: slow here",
          "the targets in the data centre were clearly slower"},
+        {"left the data centre: few here",
+         "the service has few targets in the data centre"},
         {"left the data centre: none here",
          "no target in the data centre could be used"}};
     std::string text;
--- a/include/vanillapost/src/placement/data_centre_exchange.hpp
+++ b/include/vanillapost/src/placement/data_centre_exchange.hpp
@@ -19,10 +19,11 @@
 {
     short_here, ///< too few of the targets here are free
     slow_here,  ///< targets here are free, but clearly slower
+    few_here,   ///< few targets here, and one elsewhere costs less
     none_here,  ///< no target here can be used
 };
 
-/// "short here", "slow here" or "none here".
+/// "short here", "slow here", "few here" or "none here".
 std::string_view to_string(leaving_cause cause);
 
 /// Where a request may go besides its own data centre.
--- a/include/vanillapost/src/placement/exchange_settings.hpp
+++ b/include/vanillapost/src/placement/exchange_settings.hpp
@@ -3,6 +3,8 @@
 
 #include "../base/time.hpp"
 
+#include <cstddef>
+
 namespace vanillapost {
 
 /// When a request leaves its data centre, and how many do. Shares are of the
@@ -20,6 +22,9 @@
     /// Cost of a KiB from another data centre, as the time that a caller would
     /// wait to avoid it.
     duration delay_per_kib = std::chrono::milliseconds(5);
+    /// With fewer targets here, the share that is free changes with each
+    /// request and tells little: requests then go to where they cost least.
+    std::size_t min_targets = 8;
     /// Free share below which a data centre is short, and from which on it is
     /// short no more.
     double short_below = 0.1;
--- a/src/placement/data_centre_exchange.cpp
+++ b/src/placement/data_centre_exchange.cpp
@@ -15,9 +15,11 @@
     return found == rooms.end() ? nullptr : &*found;
 }
 
-leaving_permit permit_all(std::span<const data_centre_room> rooms)
+leaving_permit permit_all(std::span<const data_centre_room> rooms,
+                          leaving_cause cause)
 {
     leaving_permit result;
+    result.cause = cause;
     for (const auto& each : rooms)
         result.destinations.push_back(each.data_centre);
     return result;
@@ -32,6 +34,8 @@
         return "short here";
     case leaving_cause::slow_here:
         return "slow here";
+    case leaving_cause::few_here:
+        return "few here";
     case leaving_cause::none_here:
         break;
     }
@@ -90,7 +94,9 @@
 {
     const auto* here = find(rooms, here_);
     if (!here || here->eligible == 0)
-        return permit_all(rooms);
+        return permit_all(rooms, leaving_cause::none_here);
+    if (here->listed < settings_.min_targets)
+        return permit_all(rooms, leaving_cause::few_here);
     auto& state = services_[request.service];
     update_short(state, here->free_share);
     return weigh(request, state, *here, rooms, now);
--- a/test/data_centre_exchange.cpp
+++ b/test/data_centre_exchange.cpp
@@ -67,6 +67,21 @@
     EXPECT_FALSE(f.decide(make_room(here, 0.5), make_room(there, 1)));
 }
 
+// Where a service has few targets, whether one of them is free says little of
+// the next request; waiting for them cost callers more than the way elsewhere.
+TEST(DataCentreExchange, WithFewTargetsHereTheCostDecides)
+{
+    exchange_fixture f;
+    auto local = make_room(here, 0.5);
+    local.listed = 7;
+    const auto permit = f.decide(local, make_room(there, 1));
+    ASSERT_TRUE(permit);
+    EXPECT_EQ(permit->cause, leaving_cause::few_here);
+    EXPECT_EQ(permit->min_gain, 0);
+    local.listed = 8;
+    EXPECT_FALSE(f.decide(local, make_room(there, 1)));
+}
+
 TEST(DataCentreExchange, AShortDataCentreSendsToWhereMoreIsFree)
 {
     exchange_fixture f;
