--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -80,6 +81,31 @@
         return config
 
 
+async def watch_memory(fleet, record, ends, limit_bytes):
+    """The platform's part: kills a process that exceeds its memory, and starts
+    it again. `ends` counts by machine."""
+    while True:
+        for router in fleet.routers:
+            peak = router.peak_bytes()
+            if not peak or peak <= limit_bytes:
+                continue
+            record.say(f"{router.name} holds {peak / 1e6:.0f} MB of "
+                       f"{router.memory_mb} MB: the platform kills it")
+            ends[router.name] += 1
+            router.signal(signal.SIGKILL)
+            await router.wait_end()
+            await asyncio.sleep(RESTART_S)
+            router.start(own_end=True)
+        await asyncio.sleep(0.01)
+
+
+def lost(truth):
+    """Requests of ordinary callers that ran at a backend and whose kept
+    connection was closed without an answer."""
+    return [a for a in truth.asked.values() if a.route and a.status == 0 and
+            a.ended and truth.runs.get(a.attempt_id)]
+
+
 class Record:
     """What is written to record.txt beside a script."""
 
@@ -94,7 +120,7 @@
         self._lines.append(line)
         self._path.write_text("\n".join(self._lines) + "\n")
 
-    def attempts(self, truth, chosen=lambda asked: True, began=None):
+    def attempts(self, truth, chosen=lambda asked: True):
         """One line for each request: when, to whom, its answer, its runs."""
         for asked in truth.asked.values():
             if not chosen(asked):
