--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -99,11 +99,19 @@
         await asyncio.sleep(0.01)
 
 
+def is_kept(truth, asked):
+    """Whether its caller had an answer on the same connection before."""
+    name, _, count = asked.attempt_id.rpartition("-")
+    before = truth.asked.get(f"{name}-{int(count) - 1}")
+    return bool(before) and before.status > 0 and \
+        before.router == asked.router
+
+
 def lost(truth):
     """Requests of ordinary callers that ran at a backend and whose kept
     connection was closed without an answer."""
     return [a for a in truth.asked.values() if a.route and a.status == 0 and
-            a.ended and truth.runs.get(a.attempt_id)]
+            a.ended and truth.runs.get(a.attempt_id) and is_kept(truth, a)]
 
 
 class Record:
